Choose versions and instances, admit calls, and bound extra attempts

Reason: where a call goes, whether it may wait and how often it may be tried again are decisions that every promise about calls rests on; they have to be tested without sockets and clocks.

Weighed: a ramping version as a stand-in for a full stable one. Ruled out: an overload of the old version would then flood an unproven one. LIFO queue under overload: ruled out, since a call that would miss its deadline is refused on arrival and the queue stays short. Least loaded of all instances: ruled out, since all callers would run to the same one on the same report; two draws spread them. Ejected and suspect instances are still used when nothing else is left.

Change: `routing` holds an immutable `Table` at one offset and a slot that refuses a lower one; the order of versions from share, lease and live instances; power of two choices with zones, slow start, capped ejection and suspicion of silent peers; admission with a short queue that knows deadlines and gives internal checks precedence; a probe budget; a retry budget and the delay of a hedge.

--- /dev/null
+++ b/crates/routing/src/tests.rs
@@ -0,0 +1,32 @@
+//! Tests of the decisions, one file for each module, and of several machines over a model network.
+
+mod admission;
+mod balancer;
+mod budget;
+mod table;
+
+use std::time::Duration;
+use std::time::Instant;
+
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointPhase;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn endpoint(daemon: &str, zone: &str, version: &str, since: Instant) -> Endpoint {
+    Endpoint {
+        daemon: daemon.into(),
+        incarnation: 1,
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        service: "bookings".into(),
+        version: version.into(),
+        slots: 20,
+        cold_start: Duration::ZERO,
+        since,
+        phase: EndpointPhase::Serving,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/tests/admission.rs
@@ -0,0 +1,126 @@
+//! Slots, queue and drain of admission.
+
+use std::time::Instant;
+
+use ledger::Class;
+use protocol::call::NotRunReason;
+
+use super::ms;
+use crate::admission::Admission;
+use crate::admission::AdmissionConfig;
+use crate::admission::Next;
+use crate::admission::Offer;
+use crate::admission::Probe;
+use crate::admission::ProbeBudget;
+use crate::admission::Withdrawal;
+
+fn admission(slots: u32, max_queued: usize) -> Admission<u32> {
+    Admission::new(AdmissionConfig {
+        slots,
+        max_queued,
+        initial_service_time: ms(10),
+        min_retry_after: ms(1),
+    })
+}
+
+fn reason(offer: Offer<u32>) -> Option<NotRunReason> {
+    match offer {
+        Offer::Refused(not_run) => Some(not_run.reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn calls_beyond_the_slots_wait_and_beyond_the_queue_are_refused() {
+    let now = Instant::now();
+    let mut admission = admission(1, 2);
+    let mut offer = |key| admission.offer(key, Class::Page, now + ms(1000), now);
+    assert_eq!(offer(1), Offer::Run);
+    assert_eq!(offer(2), Offer::Queued);
+    assert_eq!(offer(3), Offer::Queued);
+    let Offer::Refused(not_run) = offer(4) else {
+        panic!("the queue is full");
+    };
+    assert_eq!(not_run.reason, NotRunReason::Overloaded);
+    // Two calls wait before it at 10 ms each, and one runs.
+    assert_eq!(not_run.retry_after, Some(ms(30)));
+    assert_eq!(admission.next(now), Next::Idle);
+    admission.finished(ms(10));
+    assert_eq!(admission.next(now), Next::Run(2));
+    assert_eq!(admission.next(now), Next::Idle);
+}
+
+#[test]
+fn internal_checks_go_ahead_of_pages() {
+    let now = Instant::now();
+    let late = now + ms(1000);
+    let mut admission = admission(1, 2);
+    assert_eq!(admission.offer(1, Class::Page, late, now), Offer::Run);
+    assert_eq!(admission.offer(2, Class::Page, late, now), Offer::Queued);
+    assert_eq!(admission.offer(3, Class::Page, late, now), Offer::Queued);
+    let offer = admission.offer(4, Class::Internal, late, now);
+    assert!(matches!(offer, Offer::QueuedInPlaceOf(3, _)), "{offer:?}");
+    let offer = admission.offer(5, Class::Internal, late, now);
+    assert!(matches!(offer, Offer::QueuedInPlaceOf(2, _)), "{offer:?}");
+    let offer = admission.offer(6, Class::Internal, late, now);
+    assert_eq!(reason(offer), Some(NotRunReason::Overloaded));
+    admission.finished(ms(10));
+    assert_eq!(admission.next(now), Next::Run(4));
+}
+
+#[test]
+fn queue_refuses_what_it_cannot_serve_in_time() {
+    let now = Instant::now();
+    let check = |left: u64, waiting: u32, want: Option<NotRunReason>| {
+        let mut admission = admission(1, 10);
+        for key in 0..=waiting {
+            admission.offer(key, Class::Page, now + ms(1000), now);
+        }
+        let offer = admission.offer(99, Class::Page, now + ms(left), now);
+        assert_eq!(reason(offer), want, "{left} ms left, {waiting} waiting");
+    };
+    check(9, 0, Some(NotRunReason::DeadlineTooShort));
+    check(19, 0, Some(NotRunReason::Overloaded));
+    check(20, 0, None);
+    check(20, 3, Some(NotRunReason::Overloaded));
+}
+
+#[test]
+fn waiting_calls_end_at_their_deadline() {
+    let now = Instant::now();
+    let mut admission = admission(1, 4);
+    for (key, left) in [(1, 100), (2, 50), (3, 100)] {
+        admission.offer(key, Class::Page, now + ms(left), now);
+    }
+    assert_eq!(admission.next_deadline(), Some(now + ms(50)));
+    let next = admission.next(now + ms(50));
+    assert!(matches!(next, Next::Refuse(2, _)), "{next:?}");
+    assert_eq!(admission.next(now + ms(50)), Next::Idle);
+    assert_eq!(admission.withdraw(&3), Withdrawal::Done);
+    assert_eq!(admission.withdraw(&1), Withdrawal::NotQueued);
+}
+
+#[test]
+fn drain_refuses_new_calls_and_serves_those_that_wait() {
+    let now = Instant::now();
+    let late = now + ms(1000);
+    let mut admission = admission(1, 4);
+    admission.offer(1, Class::Page, late, now);
+    admission.offer(2, Class::Page, late, now);
+    admission.drain();
+    let offer = admission.offer(3, Class::Internal, late, now);
+    assert_eq!(reason(offer), Some(NotRunReason::Leaving));
+    admission.finished(ms(10));
+    assert_eq!(admission.next(now), Next::Run(2));
+}
+
+#[test]
+fn probe_budget_bounds_the_calls_of_a_window() {
+    let start = Instant::now();
+    let mut budget = ProbeBudget::new(2, ms(100), start);
+    let mut check = |at: u64, want| assert_eq!(budget.admit(start + ms(at)), want, "{at} ms");
+    check(0, Probe::Admitted);
+    check(10, Probe::Admitted);
+    check(20, Probe::Spent(ms(80)));
+    check(100, Probe::Admitted);
+}
--- /dev/null
+++ b/crates/routing/src/tests/budget.rs
@@ -0,0 +1,58 @@
+//! Retry budget and hedge delay.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::ms;
+use crate::budget::HedgePolicy;
+use crate::budget::RetryBudget;
+use crate::budget::RetryBudgetConfig;
+use crate::budget::Spend;
+
+#[test]
+fn extra_attempts_stay_within_ratio_and_floor() {
+    let start = Instant::now();
+    let check = |calls: u64, seconds: u64, want: u64| {
+        let cfg = RetryBudgetConfig {
+            per_thousand: 100,
+            floor_per_second: 2,
+            burst: 50,
+        };
+        let mut budget = RetryBudget::new(cfg, start);
+        for _ in 0..50 {
+            assert_eq!(budget.try_spend(start), Spend::Granted);
+        }
+        for _ in 0..calls {
+            budget.call_started();
+        }
+        let now = start + Duration::from_secs(seconds);
+        let granted = std::iter::repeat_with(|| budget.try_spend(now))
+            .take(100)
+            .take_while(|spend| *spend == Spend::Granted)
+            .count();
+        assert_eq!(granted as u64, want, "{calls} calls, {seconds} s");
+    };
+    check(0, 0, 0);
+    check(9, 0, 0);
+    check(10, 0, 1);
+    check(200, 0, 20);
+    check(0, 3, 6);
+    check(10_000, 0, 50);
+}
+
+#[test]
+fn hedge_waits_for_the_quantile() {
+    let mut policy = HedgePolicy::new(0.95);
+    assert_eq!(policy.delay(), None);
+    for call in 0..1000 {
+        policy.observe(if call % 100 < 96 { ms(5) } else { ms(500) });
+    }
+    let delay = policy.delay().unwrap();
+    assert!(delay >= ms(5) && delay < ms(7), "{delay:?}");
+    // Old latencies fade.
+    for _ in 0..10_000 {
+        policy.observe(ms(50));
+    }
+    let delay = policy.delay().unwrap();
+    assert!(delay >= ms(50) && delay < ms(60), "{delay:?}");
+}
--- /dev/null
+++ b/crates/routing/src/tests/table.rs
@@ -0,0 +1,202 @@
+//! Routes, versions and offsets of the table.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Share;
+use ledger::Class;
+use ledger::Move;
+use ledger::MovePolicy;
+use ledger::Phase;
+use ledger::Repeat;
+use ledger::Route;
+use ledger::Service;
+use ledger::State;
+
+use crate::endpoint::EndpointPhase;
+use crate::table::LeaseState;
+use crate::table::Swap;
+use crate::table::Table;
+use crate::table::TableError;
+use crate::table::TableSlot;
+
+fn state(share: Share, phase: Phase) -> State {
+    let route = Route {
+        service: "bookings".into(),
+        repeat: Repeat::AtMostOnce,
+        class: Class::Page,
+        timeout: Duration::from_secs(1),
+    };
+    let service = Service {
+        stable: "v1".into(),
+        previous: None,
+        ticket: 7,
+        policy: MovePolicy::default(),
+        moving: Some(Move {
+            ticket: 7,
+            to: "v2".into(),
+            finish_by: None,
+            share,
+            started: 0,
+            phase,
+        }),
+    };
+    let mut state = State::default();
+    state.services.insert("bookings".into(), service);
+    for prefix in ["/bookings", "/bookings/deposits", "/slash/"] {
+        state.routes.insert(prefix.into(), route.clone());
+    }
+    state
+}
+
+#[test]
+fn longest_prefix_at_a_segment_end_wins() {
+    let table = Table::build(&state(0, Phase::Ramping), &BTreeSet::new(), []).unwrap();
+    let check = |path: &str, want: Option<&str>| {
+        let got = table.route(path).map(|found| found.prefix.as_str());
+        assert_eq!(got, want, "{path}");
+    };
+    check("/bookings", Some("/bookings"));
+    check("/bookings/", Some("/bookings"));
+    check("/bookings?day=3", Some("/bookings"));
+    check("/bookings/deposits/4", Some("/bookings/deposits"));
+    check("/bookings/depositsX", Some("/bookings"));
+    check("/bookingsX", None);
+    check("/slash/4", Some("/slash/"));
+    check("/slash", None);
+    check("/", None);
+    check("", None);
+}
+
+#[test]
+fn root_route_takes_every_path() {
+    let mut state = state(0, Phase::Ramping);
+    let route = state.routes["/bookings"].clone();
+    state.routes.insert("/".into(), route);
+    let table = Table::build(&state, &BTreeSet::new(), []).unwrap();
+    for path in ["/", "/other", "/bookingsX/3"] {
+        assert_eq!(table.route(path).unwrap().prefix, "/", "{path}");
+    }
+}
+
+#[test]
+fn route_without_service_gives_no_table() {
+    let mut state = state(0, Phase::Ramping);
+    state.services.clear();
+    let error = Table::build(&state, &BTreeSet::new(), []).unwrap_err();
+    assert!(matches!(error, TableError::RouteWithoutService { .. }));
+}
+
+#[test]
+fn lower_offset_is_refused() {
+    let mut slot = TableSlot::default();
+    let mut check = |offset, want, in_force| {
+        let mut state = state(0, Phase::Ramping);
+        state.next = offset;
+        let table = Table::build(&state, &BTreeSet::new(), []).unwrap();
+        assert_eq!(slot.offer(table), want, "offset {offset}");
+        assert_eq!(slot.current().offset(), in_force, "offset {offset}");
+    };
+    check(5, Swap::Taken, 5);
+    check(4, Swap::Stale, 5);
+    check(5, Swap::Taken, 5);
+    check(6, Swap::Taken, 6);
+}
+
+/// A move, the versions with an instance, the lease and the draw.
+#[derive(Debug, Clone)]
+struct Case {
+    state: State,
+    facts: BTreeSet<u64>,
+    live: Vec<&'static str>,
+    lease: LeaseState,
+    draw: Share,
+}
+
+impl Case {
+    fn new(share: Share, phase: Phase, draw: Share) -> Self {
+        Self {
+            state: state(share, phase),
+            facts: BTreeSet::new(),
+            live: vec!["v1", "v2"],
+            lease: LeaseState::Fresh,
+            draw,
+        }
+    }
+
+    fn ramping(draw: Share) -> Self {
+        Self::new(50, Phase::Ramping, draw)
+    }
+
+    fn watched() -> Self {
+        Self::new(1000, Phase::Watching(0), 999)
+    }
+
+    fn expired(self) -> Self {
+        let lease = LeaseState::Expired;
+        Self { lease, ..self }
+    }
+
+    fn fact(self, ticket: u64) -> Self {
+        let facts = BTreeSet::from([ticket]);
+        Self { facts, ..self }
+    }
+
+    fn only(self, version: &'static str) -> Self {
+        let live = vec![version];
+        Self { live, ..self }
+    }
+}
+
+#[test]
+fn versions_follow_share_lease_and_instances() {
+    let check = |case: Case, want: &[&str]| {
+        let now = Instant::now();
+        let instance = |version: &&str| super::endpoint(version, "suva-a", version, now);
+        let endpoints = case.live.iter().map(instance);
+        let table = Table::build(&case.state, &case.facts, endpoints).unwrap();
+        let service = table.service("bookings").unwrap();
+        let order = service.versions_in_order(case.lease, case.draw);
+        let got: Vec<_> = order.iter().collect();
+        assert_eq!(got, want, "{case:?}");
+    };
+    check(Case::ramping(49), &["v2", "v1"]);
+    // A ramping version never stands in for the stable one.
+    check(Case::ramping(50), &["v1"]);
+    check(Case::ramping(0).expired(), &["v1"]);
+    check(Case::ramping(0).fact(7), &["v1"]);
+    check(Case::ramping(0).fact(6), &["v2", "v1"]);
+    check(Case::ramping(0).only("v1"), &["v1"]);
+    check(Case::ramping(999).only("v2"), &["v2"]);
+    check(Case::ramping(49).expired().only("v2"), &["v2"]);
+    check(Case::ramping(49).fact(7).only("v2"), &["v1"]);
+    check(Case::watched(), &["v2", "v1"]);
+    check(Case::watched().expired(), &["v2", "v1"]);
+    check(Case::watched().fact(7), &["v1"]);
+}
+
+#[test]
+fn finished_move_that_is_taken_back_returns_to_the_previous_version() {
+    let mut state = state(0, Phase::Ramping);
+    let service = state.services.get_mut("bookings").unwrap();
+    service.moving = None;
+    service.previous = Some("v0".into());
+    let check = |fact: u64, want: &str| {
+        let table = Table::build(&state, &BTreeSet::from([fact]), []).unwrap();
+        assert_eq!(table.service("bookings").unwrap().stable, want);
+    };
+    check(6, "v1");
+    check(7, "v0");
+}
+
+#[test]
+fn version_whose_only_instance_leaves_is_passed_over() {
+    let now = Instant::now();
+    let mut leaving = super::endpoint("b", "suva-a", "v2", now);
+    leaving.phase = EndpointPhase::Leaving;
+    let endpoints = [super::endpoint("a", "suva-a", "v1", now), leaving];
+    let table = Table::build(&state(50, Phase::Ramping), &BTreeSet::new(), endpoints).unwrap();
+    let service = table.service("bookings").unwrap();
+    assert_eq!(service.versions_in_order(LeaseState::Fresh, 0).first, "v1");
+}
