Run a call at most once, over any order of losses, kills and resends

Reason: a booking that runs twice, or that is called "not run" and ran, is the worst that can happen to a caller. Proof has to come from the side that runs it.

Weighed: sequence floors for each caller and incarnation, or one floor for each caller name. One, since a restarted caller has a higher incarnation; memory then grows with names and not with restarts. Memory by age: ruled out, since a frozen process may deliver an attempt after any time. Idempotent attempts outside the table: tried, and the model refuted it, a second copy of a refused attempt ran after it had been called "not run"; they are in the table too, without their answers. A refused attempt is fenced for the same reason. Retrying 5xx answers: ruled out, an answer is an answer and is passed on.

Change: `CallMachine` decides on attempts, questions, hedges and the one final answer of a call; `CallTable` is the upstream side's bounded memory of attempts. `tests/network.rs` drives several of both over a model network and counts the runs at the upstreams.

--- /dev/null
+++ b/crates/routing/src/attempts.rs
@@ -0,0 +1,434 @@
+//! The caller side of one call: which attempts go out, and what the client is told.
+//!
+//! A call that may run at most once gets another attempt only on proof that the one before did
+//! not begin. Whoever drives the machine carries out its actions in order and feeds back what
+//! happened. Every call ends with exactly one [`Final`].
+
+use std::time::Duration;
+use std::time::Instant;
+
+use ledger::Repeat;
+use protocol::call::NotRun;
+use protocol::call::NotRunReason;
+
+use crate::budget::RetryBudget;
+use crate::budget::Spend;
+
+/// Number of an attempt within its call, from 0.
+pub type AttemptIndex = usize;
+
+/// What is known about a call when it comes in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallPlan {
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+    /// When its final answer is due.
+    pub deadline: Instant,
+    /// Attempts at most, the first one included.
+    pub max_attempts: usize,
+    /// Told to the client where no instance gave a better time to come back.
+    pub retry_after: Duration,
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// There is no instance to send the attempt to.
+    NoInstance(AttemptIndex, NotRunReason),
+    /// No connection could be opened; nothing was sent.
+    ConnectFailed(AttemptIndex),
+    /// The instance replied, whole.
+    Replied(AttemptIndex, Reply),
+    /// The reply is too long to hold; its first part is there and can be passed on.
+    Streaming(AttemptIndex),
+    /// The connection broke or went silent after something was sent.
+    SightLost(AttemptIndex),
+    /// The instance said what became of the attempt.
+    Resolved(AttemptIndex, Reply),
+    /// The instance could not be asked.
+    ResolveFailed(AttemptIndex),
+    /// The time for a hedge has come.
+    HedgeDue,
+    /// The deadline has passed.
+    DeadlinePassed,
+    /// The client has gone.
+    ClientGone,
+}
+
+/// What an instance said about an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// It has the answer.
+    Answered,
+    /// It did not begin and never will.
+    NotRun(NotRun),
+    /// It may have run.
+    Unknown,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Choose an instance and connect; ask [`CallMachine::permit_send`] before the first byte.
+    Send(AttemptIndex),
+    /// Ask the instance, over a new connection, what became of the attempt.
+    Resolve(AttemptIndex),
+    /// Close the attempt's connections; its reply is no longer wanted.
+    Cancel(AttemptIndex),
+    /// Pass the attempt's reply on as it comes in.
+    Stream(AttemptIndex),
+    /// The call has ended.
+    Finish(Final),
+}
+
+/// What the client is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Final {
+    /// The answer of this attempt.
+    Answer(AttemptIndex),
+    /// The call did not run and never will.
+    NotRun(NotRun),
+    /// The call may have run.
+    Unknown,
+    /// The answer was cut after a part of it was passed on; cut the client's connection, so that
+    /// the part is not taken for the whole.
+    Abort,
+    /// The client has gone; there is nobody to tell.
+    Nobody,
+}
+
+/// Whether an attempt may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// It counts as sent from now on.
+    Go,
+    /// The call has moved on; nothing may be sent.
+    Stop,
+}
+
+/// The machine of one call.
+#[derive(Debug, Clone)]
+pub struct CallMachine {
+    plan: CallPlan,
+    attempts: Vec<AttemptState>,
+    stage: Stage,
+    refusal: Option<NotRun>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptState {
+    /// Nothing was sent yet.
+    Connecting,
+    Sent,
+    Resolving,
+    /// It did not begin and never will.
+    NotRun,
+    /// It may have run; nothing more is awaited from it.
+    Over,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Open,
+    /// A part of this attempt's answer was passed on.
+    Streaming(AttemptIndex),
+    Ended,
+}
+
+impl CallMachine {
+    /// Begins a call; the actions that follow are its first.
+    #[must_use]
+    pub fn start(plan: CallPlan, budget: &mut RetryBudget) -> (Self, Vec<Action>) {
+        budget.call_started();
+        let machine = Self {
+            plan,
+            attempts: vec![AttemptState::Connecting],
+            stage: Stage::Open,
+            refusal: None,
+        };
+        (machine, vec![Action::Send(0)])
+    }
+
+    /// Asks, right before the first byte of an attempt, whether it may be sent.
+    pub fn permit_send(&mut self, attempt: AttemptIndex) -> Permit {
+        match self.attempts.get_mut(attempt) {
+            Some(state @ AttemptState::Connecting) if self.stage == Stage::Open => {
+                *state = AttemptState::Sent;
+                Permit::Go
+            }
+            _ => Permit::Stop,
+        }
+    }
+
+    /// Whether the final answer was given.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.stage == Stage::Ended
+    }
+
+    /// Takes in what happened and says what to do.
+    pub fn on(&mut self, event: Event, budget: &mut RetryBudget, now: Instant) -> Vec<Action> {
+        if self.is_ended() {
+            return Vec::new();
+        }
+        match event {
+            Event::NoInstance(attempt, reason) => self.on_no_instance(attempt, reason),
+            Event::ConnectFailed(attempt) => self.on_connect_failed(attempt, now),
+            Event::Replied(attempt, reply) => {
+                self.on_reply(attempt, reply, AttemptState::Sent, budget, now)
+            }
+            Event::Resolved(attempt, reply) => {
+                self.on_reply(attempt, reply, AttemptState::Resolving, budget, now)
+            }
+            Event::Streaming(attempt) => self.on_streaming(attempt),
+            Event::SightLost(attempt) => self.on_sight_lost(attempt, budget, now),
+            Event::ResolveFailed(attempt) => self.on_resolve_failed(attempt, budget, now),
+            Event::HedgeDue => self.on_hedge_due(budget, now),
+            Event::DeadlinePassed => self.on_deadline(),
+            Event::ClientGone => self.finish(Final::Nobody),
+        }
+    }
+
+    fn on_no_instance(&mut self, attempt: AttemptIndex, reason: NotRunReason) -> Vec<Action> {
+        if self.state(attempt) != Some(AttemptState::Connecting) {
+            return Vec::new();
+        }
+        self.attempts[attempt] = AttemptState::NotRun;
+        // What an instance said before tells the client more than that none is left.
+        let refusal = self.refusal.clone().unwrap_or(NotRun {
+            reason,
+            retry_after: None,
+        });
+        self.give_up(refusal)
+    }
+
+    fn on_connect_failed(&mut self, attempt: AttemptIndex, now: Instant) -> Vec<Action> {
+        if self.state(attempt) != Some(AttemptState::Connecting) {
+            return Vec::new();
+        }
+        self.attempts[attempt] = AttemptState::NotRun;
+        let refusal = NotRun {
+            reason: NotRunReason::Unreachable,
+            retry_after: None,
+        };
+        // Nothing reached an upstream, so nothing is taken from the budget.
+        if self.has_attempts_left(now) && !self.is_awaiting() {
+            self.refusal.get_or_insert(refusal);
+            return self.send_another();
+        }
+        self.give_up(refusal)
+    }
+
+    fn on_reply(
+        &mut self,
+        attempt: AttemptIndex,
+        reply: Reply,
+        awaited: AttemptState,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Vec<Action> {
+        if self.state(attempt) != Some(awaited) {
+            return Vec::new();
+        }
+        match reply {
+            Reply::Answered => {
+                self.attempts[attempt] = AttemptState::Over;
+                self.finish(Final::Answer(attempt))
+            }
+            Reply::NotRun(not_run) => {
+                self.attempts[attempt] = AttemptState::NotRun;
+                self.on_not_run(not_run, budget, now)
+            }
+            Reply::Unknown => self.on_unknown(attempt, budget, now),
+        }
+    }
+
+    fn on_not_run(
+        &mut self,
+        not_run: NotRun,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Vec<Action> {
+        if self.is_awaiting() {
+            self.refusal = Some(not_run);
+            return Vec::new();
+        }
+        let is_final = not_run.reason == NotRunReason::DeadlineTooShort;
+        if is_final || !self.has_attempts_left(now) {
+            return self.give_up(not_run);
+        }
+        match budget.try_spend(now) {
+            Spend::Denied => self.give_up(not_run),
+            Spend::Granted => {
+                self.refusal = Some(not_run);
+                self.send_another()
+            }
+        }
+    }
+
+    fn on_unknown(
+        &mut self,
+        attempt: AttemptIndex,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Vec<Action> {
+        self.attempts[attempt] = AttemptState::Over;
+        if let Stage::Streaming(_) = self.stage {
+            return self.finish(Final::Abort);
+        }
+        if self.plan.repeat == Repeat::AtMostOnce {
+            return self.finish(Final::Unknown);
+        }
+        if self.is_awaiting() {
+            return Vec::new();
+        }
+        if self.has_attempts_left(now) && budget.try_spend(now) == Spend::Granted {
+            return self.send_another();
+        }
+        self.finish(Final::Unknown)
+    }
+
+    fn on_streaming(&mut self, attempt: AttemptIndex) -> Vec<Action> {
+        let is_awaited = matches!(
+            self.state(attempt),
+            Some(AttemptState::Sent | AttemptState::Resolving)
+        );
+        if !is_awaited || self.stage != Stage::Open {
+            return Vec::new();
+        }
+        self.stage = Stage::Streaming(attempt);
+        let mut actions = self.cancel_all_but(Some(attempt));
+        actions.push(Action::Stream(attempt));
+        actions
+    }
+
+    fn on_sight_lost(
+        &mut self,
+        attempt: AttemptIndex,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Vec<Action> {
+        if self.state(attempt) != Some(AttemptState::Sent) {
+            return Vec::new();
+        }
+        match self.plan.repeat {
+            Repeat::AtMostOnce => {
+                self.attempts[attempt] = AttemptState::Resolving;
+                vec![Action::Resolve(attempt)]
+            }
+            Repeat::Idempotent => self.on_unknown(attempt, budget, now),
+        }
+    }
+
+    fn on_resolve_failed(
+        &mut self,
+        attempt: AttemptIndex,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Vec<Action> {
+        if self.state(attempt) != Some(AttemptState::Resolving) {
+            return Vec::new();
+        }
+        self.on_unknown(attempt, budget, now)
+    }
+
+    fn on_hedge_due(&mut self, budget: &mut RetryBudget, now: Instant) -> Vec<Action> {
+        let is_slow = self.attempts.last() == Some(&AttemptState::Sent);
+        let may_hedge = self.plan.repeat == Repeat::Idempotent
+            && self.stage == Stage::Open
+            && is_slow
+            && self.has_attempts_left(now);
+        if may_hedge && budget.try_spend(now) == Spend::Granted {
+            return self.send_another();
+        }
+        Vec::new()
+    }
+
+    fn on_deadline(&mut self) -> Vec<Action> {
+        if let Stage::Streaming(_) = self.stage {
+            return self.finish(Final::Abort);
+        }
+        let mut actions = self.cancel_unsent();
+        actions.extend(self.conclude(NotRun {
+            reason: NotRunReason::DeadlineTooShort,
+            retry_after: None,
+        }));
+        actions
+    }
+
+    /// Attempts that are still connecting are never sent, so they are proven not to run.
+    fn cancel_unsent(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (attempt, state) in self.attempts.iter_mut().enumerate() {
+            if *state == AttemptState::Connecting {
+                *state = AttemptState::NotRun;
+                actions.push(Action::Cancel(attempt));
+            }
+        }
+        actions
+    }
+
+    /// Ends the call unless an attempt is still awaited.
+    fn give_up(&mut self, not_run: NotRun) -> Vec<Action> {
+        if self.is_awaiting() {
+            return Vec::new();
+        }
+        self.conclude(not_run)
+    }
+
+    /// Says "not run" only if that is true of every attempt.
+    fn conclude(&mut self, mut not_run: NotRun) -> Vec<Action> {
+        let is_proven = self
+            .attempts
+            .iter()
+            .all(|state| *state == AttemptState::NotRun);
+        if !is_proven {
+            return self.finish(Final::Unknown);
+        }
+        not_run.retry_after.get_or_insert(self.plan.retry_after);
+        self.finish(Final::NotRun(not_run))
+    }
+
+    fn finish(&mut self, end: Final) -> Vec<Action> {
+        self.stage = Stage::Ended;
+        let mut actions = self.cancel_all_but(None);
+        actions.push(Action::Finish(end));
+        actions
+    }
+
+    fn cancel_all_but(&mut self, kept: Option<AttemptIndex>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (attempt, state) in self.attempts.iter_mut().enumerate() {
+            if Some(attempt) != kept && state.is_awaited() {
+                *state = AttemptState::Over;
+                actions.push(Action::Cancel(attempt));
+            }
+        }
+        actions
+    }
+
+    fn send_another(&mut self) -> Vec<Action> {
+        self.attempts.push(AttemptState::Connecting);
+        vec![Action::Send(self.attempts.len() - 1)]
+    }
+
+    fn has_attempts_left(&self, now: Instant) -> bool {
+        self.stage == Stage::Open
+            && self.attempts.len() < self.plan.max_attempts
+            && now < self.plan.deadline
+    }
+
+    fn is_awaiting(&self) -> bool {
+        self.attempts.iter().any(|state| state.is_awaited())
+    }
+
+    fn state(&self, attempt: AttemptIndex) -> Option<AttemptState> {
+        self.attempts.get(attempt).copied()
+    }
+}
+
+impl AttemptState {
+    fn is_awaited(self) -> bool {
+        matches!(self, Self::Connecting | Self::Sent | Self::Resolving)
+    }
+}
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -1,13 +1,18 @@
 //! Tests of the decisions, one file for each module, and of several machines over a model network.
 
 mod admission;
+mod attempts;
 mod balancer;
 mod budget;
+mod calltable;
+mod network;
 mod table;
 
 use std::time::Duration;
 use std::time::Instant;
 
+use base::Incarnation;
+use protocol::call::AttemptId;
 
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointPhase;
@@ -30,3 +35,11 @@
         phase: EndpointPhase::Serving,
     }
 }
+
+fn attempt(incarnation: Incarnation, sequence: u64) -> AttemptId {
+    AttemptId {
+        caller: "suva-a-1".into(),
+        incarnation,
+        sequence,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/tests/attempts.rs
@@ -0,0 +1,212 @@
+//! The machine of one call, event by event.
+
+use std::time::Instant;
+
+use ledger::Repeat;
+use protocol::call::NotRun;
+use protocol::call::NotRunReason;
+
+use super::ms;
+use crate::attempts::Action;
+use crate::attempts::CallMachine;
+use crate::attempts::CallPlan;
+use crate::attempts::Event;
+use crate::attempts::Event::ClientGone;
+use crate::attempts::Event::ConnectFailed;
+use crate::attempts::Event::DeadlinePassed;
+use crate::attempts::Event::HedgeDue;
+use crate::attempts::Event::NoInstance;
+use crate::attempts::Event::Replied;
+use crate::attempts::Event::ResolveFailed;
+use crate::attempts::Event::Resolved;
+use crate::attempts::Event::SightLost;
+use crate::attempts::Event::Streaming;
+use crate::attempts::Final;
+use crate::attempts::Permit;
+use crate::attempts::Reply;
+use crate::budget::RetryBudget;
+use crate::budget::RetryBudgetConfig;
+
+/// Runs the events; each attempt that is asked for is sent at once. Gives all actions as text.
+fn run(repeat: Repeat, retries: u64, events: &[Event]) -> String {
+    let now = Instant::now();
+    let cfg = RetryBudgetConfig {
+        per_thousand: 0,
+        floor_per_second: 0,
+        burst: retries,
+    };
+    let mut budget = RetryBudget::new(cfg, now);
+    let plan = CallPlan {
+        repeat,
+        deadline: now + ms(100),
+        max_attempts: 3,
+        retry_after: ms(7),
+    };
+    let (mut machine, actions) = CallMachine::start(plan, &mut budget);
+    let mut seen = Vec::new();
+    note(&mut machine, &mut seen, actions, events.first());
+    for (index, event) in events.iter().enumerate() {
+        let actions = machine.on(event.clone(), &mut budget, now);
+        note(&mut machine, &mut seen, actions, events.get(index + 1));
+    }
+    seen.join(" ")
+}
+
+/// An attempt whose connection fails next is not sent.
+fn note(
+    machine: &mut CallMachine,
+    seen: &mut Vec<String>,
+    actions: Vec<Action>,
+    next: Option<&Event>,
+) {
+    for action in actions {
+        if let Action::Send(attempt) = action
+            && !matches!(next, Some(ConnectFailed(_) | NoInstance(..)))
+        {
+            assert_eq!(machine.permit_send(attempt), Permit::Go);
+        }
+        seen.push(match action {
+            Action::Send(attempt) => format!("send{attempt}"),
+            Action::Resolve(attempt) => format!("resolve{attempt}"),
+            Action::Cancel(attempt) => format!("cancel{attempt}"),
+            Action::Stream(attempt) => format!("stream{attempt}"),
+            Action::Finish(Final::NotRun(not_run)) => {
+                format!("not-run:{:?}", not_run.retry_after.unwrap())
+            }
+            Action::Finish(end) => format!("{end:?}"),
+        });
+    }
+}
+
+fn refused(reason: NotRunReason) -> Reply {
+    Reply::NotRun(NotRun {
+        reason,
+        retry_after: Some(ms(30)),
+    })
+}
+
+#[test]
+fn at_most_once_needs_proof_before_another_attempt() {
+    let check = |events: &[Event], want: &str| {
+        assert_eq!(run(Repeat::AtMostOnce, 10, events), want, "{events:?}");
+    };
+    let full = || refused(NotRunReason::Overloaded);
+    let fenced = || refused(NotRunReason::GivenUp);
+    check(&[Replied(0, Reply::Answered)], "send0 Answer(0)");
+    check(
+        &[Replied(0, full()), Replied(1, Reply::Answered)],
+        "send0 send1 Answer(1)",
+    );
+    check(&[Replied(0, Reply::Unknown)], "send0 Unknown");
+    check(
+        &[SightLost(0), Resolved(0, Reply::Answered)],
+        "send0 resolve0 Answer(0)",
+    );
+    check(
+        &[SightLost(0), Resolved(0, fenced())],
+        "send0 resolve0 send1",
+    );
+    check(
+        &[SightLost(0), Resolved(0, Reply::Unknown)],
+        "send0 resolve0 Unknown",
+    );
+    check(&[SightLost(0), ResolveFailed(0)], "send0 resolve0 Unknown");
+    check(&[SightLost(0), SightLost(0)], "send0 resolve0");
+    check(&[SightLost(0), Replied(0, full())], "send0 resolve0");
+    check(
+        &[SightLost(0), DeadlinePassed],
+        "send0 resolve0 cancel0 Unknown",
+    );
+    check(&[HedgeDue], "send0");
+    check(
+        &[DeadlinePassed, Replied(0, Reply::Answered)],
+        "send0 cancel0 Unknown",
+    );
+    check(&[ClientGone], "send0 cancel0 Nobody");
+    check(&[ConnectFailed(0), ConnectFailed(1)], "send0 send1 send2");
+    let gone = [ConnectFailed(0), ConnectFailed(1), ConnectFailed(2)];
+    check(&gone, "send0 send1 send2 not-run:7ms");
+    let none = || NoInstance(1, NotRunReason::NoInstance);
+    check(&[Replied(0, full()), none()], "send0 send1 not-run:30ms");
+    check(
+        &[NoInstance(0, NotRunReason::NoInstance)],
+        "send0 not-run:7ms",
+    );
+}
+
+#[test]
+fn idempotent_call_is_sent_again_and_hedged() {
+    let check = |events: &[Event], want: &str| {
+        assert_eq!(run(Repeat::Idempotent, 10, events), want, "{events:?}");
+    };
+    check(
+        &[SightLost(0), Replied(1, Reply::Answered)],
+        "send0 send1 Answer(1)",
+    );
+    check(
+        &[HedgeDue, Replied(0, Reply::Answered)],
+        "send0 send1 cancel1 Answer(0)",
+    );
+    check(&[HedgeDue, SightLost(0)], "send0 send1");
+    check(&[HedgeDue, HedgeDue, HedgeDue], "send0 send1 send2");
+    // One attempt may have run, so the call is not called "not run".
+    let full = refused(NotRunReason::DeadlineTooShort);
+    check(&[SightLost(0), Replied(1, full)], "send0 send1 Unknown");
+}
+
+#[test]
+fn spent_budget_ends_the_call_at_once() {
+    let check = |repeat, event: Event, want: &str| {
+        assert_eq!(run(repeat, 0, &[event]), want);
+    };
+    let full = refused(NotRunReason::Overloaded);
+    check(Repeat::AtMostOnce, Replied(0, full), "send0 not-run:30ms");
+    check(Repeat::Idempotent, SightLost(0), "send0 Unknown");
+    check(Repeat::Idempotent, HedgeDue, "send0");
+}
+
+#[test]
+fn long_answer_is_passed_on_whole_or_cut() {
+    let check = |repeat, events: &[Event], want: &str| {
+        assert_eq!(run(repeat, 10, events), want, "{events:?}");
+    };
+    let whole = || [Streaming(0), Replied(0, Reply::Answered)];
+    check(Repeat::Idempotent, &whole(), "send0 stream0 Answer(0)");
+    check(
+        Repeat::Idempotent,
+        &[Streaming(0), SightLost(0)],
+        "send0 stream0 Abort",
+    );
+    check(
+        Repeat::Idempotent,
+        &[HedgeDue, Streaming(1)],
+        "send0 send1 cancel0 stream1",
+    );
+    let handed_over = [Streaming(0), SightLost(0), Resolved(0, Reply::Answered)];
+    check(
+        Repeat::AtMostOnce,
+        &handed_over,
+        "send0 stream0 resolve0 Answer(0)",
+    );
+    let lost = [Streaming(0), SightLost(0), ResolveFailed(0)];
+    check(Repeat::AtMostOnce, &lost, "send0 stream0 resolve0 Abort");
+}
+
+#[test]
+fn nothing_is_sent_after_the_end() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(RetryBudgetConfig::default(), now);
+    let plan = CallPlan {
+        repeat: Repeat::AtMostOnce,
+        deadline: now + ms(100),
+        max_attempts: 3,
+        retry_after: ms(7),
+    };
+    let (mut machine, _) = CallMachine::start(plan, &mut budget);
+    let actions = machine.on(DeadlinePassed, &mut budget, now);
+    assert!(matches!(
+        actions[..],
+        [Action::Cancel(0), Action::Finish(Final::NotRun(_))]
+    ));
+    assert_eq!(machine.permit_send(0), Permit::Stop);
+}
