Read and check the settings of a daemon

A daemon must not start with settings that it would have to guess at, so the YAML is checked as a whole first: unknown and missing keys, numbers without a unit, host names in place of IP numbers, and values that contradict each other (two listeners on one address, a daemon that is its own seed, a lease no longer than a heartbeat, less memory than one call needs).

Weighed: a crate that records the path of a key while it parses. For checks across values the line is found by looking for the parts of the key in the text, in block and flow maps alike.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,107 @@
-//! Placeholder.
+//! Settings of one daemon: YAML with units, checked as a whole before anything starts.
+//!
+//! Unknown keys are refused. Every error names the file, the line where it is known, the key
+//! and what was expected.
+
+pub mod address;
+mod check;
+pub mod error;
+mod locate;
+pub mod sections;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use base::DaemonId;
+use base::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::serde_as;
+use smol_str::SmolStr;
+
+use crate::address::Address;
+pub use crate::error::Problem;
+pub use crate::error::SettingsError;
+pub use crate::sections::Fanout;
+pub use crate::sections::Limits;
+pub use crate::sections::Listen;
+pub use crate::sections::LogLevel;
+pub use crate::sections::LogService;
+pub use crate::sections::Logs;
+pub use crate::sections::Timing;
+
+/// Settings of one daemon.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the daemon, unique in the fleet.
+    pub daemon: DaemonId,
+    /// Availability zone that it runs in.
+    pub zone: ZoneName,
+    /// Region of that zone.
+    #[serde(default = "default_region")]
+    pub region: SmolStr,
+    /// Addresses that it listens on.
+    pub listen: Listen,
+    /// The platform's append-only log service.
+    pub log: LogService,
+    /// Addresses of peers that a starting daemon asks first.
+    #[serde(default)]
+    #[serde_as(as = "Vec<Address>")]
+    pub seeds: Vec<SocketAddr>,
+    /// Limits of memory and concurrency.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Timeouts and periods.
+    #[serde(default)]
+    pub timing: Timing,
+    /// How records of the log spread in a zone.
+    #[serde(default)]
+    pub fanout: Fanout,
+    /// What is written to the daemon's own log output.
+    #[serde(default)]
+    pub logs: Logs,
+}
+
+impl Settings {
+    /// Reads and checks the settings in the file at `path`.
+    ///
+    /// # Errors
+    /// When the file cannot be read or [`Settings::parse`] refuses its text.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let file = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Self::parse(&text, &file),
+            Err(source) => Err(SettingsError::Read { file, source }),
+        }
+    }
+
+    /// Reads and checks settings; `file` is the name that errors give.
+    ///
+    /// # Errors
+    /// When the text is no YAML, a key is unknown or missing, a value has another form, or
+    /// values contradict each other.
+    pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        let settings: Self =
+            serde_yaml_ng::from_str(text).map_err(|error| error::from_yaml(&error, file))?;
+        check::all(&settings).map_err(|(key, expected)| {
+            SettingsError::Invalid(Problem {
+                file: file.to_owned(),
+                line: locate::line_of(text, &key),
+                key,
+                expected,
+            })
+        })?;
+        Ok(settings)
+    }
+}
+
+fn default_region() -> SmolStr {
+    SmolStr::new_static("default")
+}
+
+#[cfg(test)]
+mod tests;
