Add the HTTP layer: whole messages within limits, graceful close

The layer wraps monoio-http's codecs on the legacy (epoll) driver. Bodies are held whole: a call that may be repeated needs its body again, and an answer that is handed over later needs it whole. A reader with a byte budget bounds what one message may take, since the codec itself has no limit on the head. An answer without a length is an error: it ends with the connection, so a cut one would look whole.

--- a/crates/http-edge/src/lib.rs
+++ b/crates/http-edge/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Small HTTP/1.1 server and client on monoio's epoll driver.
+//!
+//! Messages are held whole in memory, within [`Limits`]: a call that may be repeated needs its
+//! body again, and an answer that is handed over later needs it whole. One request is under way
+//! on a connection at a time.
+
+mod client;
+mod error;
+mod latch;
+mod limited;
+mod message;
+mod pool;
+mod runtime;
+mod server;
+
+pub use client::Conn;
+pub use error::CallError;
+pub use error::ConnectError;
+pub use error::RequestFault;
+pub use latch::Latch;
+pub use limited::Limits;
+pub use message::Request;
+pub use message::Response;
+pub use pool::Pool;
+pub use pool::PoolCfg;
+pub use runtime::block_on;
+pub use server::Handler;
+pub use server::Server;
+pub use server::ServerCfg;
+pub use server::listen;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/http-edge/src/pool.rs
@@ -0,0 +1,126 @@
+//! Idle connections by peer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::FastMap;
+
+use crate::client::Conn;
+use crate::error::ConnectError;
+use crate::limited::Limits;
+
+/// Bounds of a [`Pool`].
+#[derive(Debug, Clone, Copy)]
+pub struct PoolCfg {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Idle connections are not used again after this time.
+    pub idle: Duration,
+    /// Connections are not used again after this time since they were opened.
+    pub age: Duration,
+    /// Idle connections kept for each peer.
+    pub per_peer: usize,
+    /// Sizes of answers.
+    pub limits: Limits,
+}
+
+impl Default for PoolCfg {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(250),
+            idle: Duration::from_secs(5),
+            age: Duration::from_mins(1),
+            per_peer: 64,
+            limits: Limits::default(),
+        }
+    }
+}
+
+/// Idle connections by peer, the latest used first.
+pub struct Pool {
+    cfg: PoolCfg,
+    idle: RefCell<FastMap<SocketAddr, Vec<IdleConn>>>,
+}
+
+struct IdleConn {
+    conn: Conn,
+    since: Instant,
+}
+
+impl Pool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(cfg: PoolCfg) -> Self {
+        Self {
+            cfg,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// An idle connection to the peer, or a new one.
+    ///
+    /// # Errors
+    /// When a new one is needed and cannot be opened.
+    pub async fn take(&self, peer: SocketAddr) -> Result<Conn, ConnectError> {
+        if let Some(conn) = self.take_idle(peer) {
+            return Ok(conn);
+        }
+        self.open(peer).await
+    }
+
+    /// A new connection to the peer, past the idle ones.
+    ///
+    /// # Errors
+    /// When it cannot be opened.
+    pub async fn open(&self, peer: SocketAddr) -> Result<Conn, ConnectError> {
+        Conn::connect(peer, self.cfg.connect, self.cfg.limits).await
+    }
+
+    /// Gives a connection back; one that must not be used again is closed.
+    pub fn put(&self, conn: Conn) {
+        if !conn.is_reusable() || conn.opened().elapsed() > self.cfg.age {
+            return conn.close();
+        }
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.entry(conn.peer()).or_default();
+        if conns.len() >= self.cfg.per_peer {
+            return conn.close();
+        }
+        conns.push(IdleConn {
+            conn,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes all idle connections to a peer.
+    pub fn forget(&self, peer: SocketAddr) {
+        self.idle.borrow_mut().remove(&peer);
+    }
+
+    /// Closes idle connections past their time; called now and then.
+    pub fn sweep(&self) {
+        let cfg = self.cfg;
+        let mut idle = self.idle.borrow_mut();
+        for conns in idle.values_mut() {
+            conns.retain(|idle| is_fresh(idle, &cfg));
+        }
+        idle.retain(|_, conns| !conns.is_empty());
+    }
+
+    fn take_idle(&self, peer: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.get_mut(&peer)?;
+        while let Some(idle) = conns.pop() {
+            if is_fresh(&idle, &self.cfg) {
+                return Some(idle.conn);
+            }
+        }
+        None
+    }
+}
+
+fn is_fresh(idle: &IdleConn, cfg: &PoolCfg) -> bool {
+    idle.since.elapsed() <= cfg.idle && idle.conn.opened().elapsed() <= cfg.age
+}
--- /dev/null
+++ b/crates/http-edge/src/tests.rs
@@ -0,0 +1,157 @@
+//! Tests of server and client against each other and against raw sockets.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::CallError;
+use crate::Conn;
+use crate::Handler;
+use crate::Limits;
+use crate::Request;
+use crate::Response;
+use crate::Server;
+use crate::ServerCfg;
+use crate::block_on;
+use crate::listen;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, req: Request) -> Response {
+        if req.path() == "/slow" {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Response::new(StatusCode::OK, req.body).with_header("x-path", req.target)
+    }
+}
+
+fn start(limits: Limits) -> (Server, SocketAddr) {
+    let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let cfg = ServerCfg {
+        limits,
+        ..ServerCfg::default()
+    };
+    (Server::start(listener, Rc::new(Echo), cfg), address)
+}
+
+#[test]
+fn bodies_of_all_sizes_come_back_whole_on_one_connection() {
+    block_on(async {
+        let (_server, address) = start(Limits::default());
+        let mut conn = Conn::connect(address, PATIENCE, Limits::default())
+            .await
+            .unwrap();
+        for size in [0, 1, 100, 8 * 1024, 64 * 1024, 1024 * 1024] {
+            let body = Bytes::from(vec![b'x'; size]);
+            let req = Request::post(format!("/echo?size={size}"), body.clone());
+            let res = conn.call(req, PATIENCE).await.unwrap();
+            assert_eq!(res.body, body, "size {size}");
+            assert_eq!(
+                res.header("x-path"),
+                Some(format!("/echo?size={size}").as_str())
+            );
+            assert!(conn.is_reusable());
+        }
+    });
+}
+
+#[test]
+fn an_answer_over_the_limit_is_an_error() {
+    block_on(async {
+        let (_server, address) = start(Limits::default());
+        let limits = Limits {
+            head: 1024,
+            body: 1024,
+        };
+        let mut conn = Conn::connect(address, PATIENCE, limits).await.unwrap();
+        let res = conn
+            .call(Request::post("/", vec![0; 100_000]), PATIENCE)
+            .await;
+        assert!(matches!(res, Err(CallError::TooLarge)), "{res:?}");
+        assert!(!conn.is_reusable());
+    });
+}
+
+#[test]
+fn a_close_lets_the_request_under_way_end() {
+    block_on(async {
+        let (server, address) = start(Limits::default());
+        let mut conn = Conn::connect(address, PATIENCE, Limits::default())
+            .await
+            .unwrap();
+        let call = monoio::spawn(async move { conn.call(Request::get("/slow"), PATIENCE).await });
+        while server.requests() == 0 {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        server.close(PATIENCE).await;
+        assert_eq!(call.await.unwrap().status, StatusCode::OK);
+        assert!(
+            Conn::connect(address, PATIENCE, Limits::default())
+                .await
+                .is_err()
+        );
+    });
+}
+
+#[test]
+fn bad_requests_are_refused_and_the_server_goes_on() {
+    let (tx, rx) = std::sync::mpsc::channel();
+    let (done_tx, done_rx) = std::sync::mpsc::channel::<()>();
+    let server = std::thread::spawn(move || {
+        block_on(async move {
+            let (server, address) = start(Limits {
+                head: 1024,
+                body: 1024,
+            });
+            tx.send(address).unwrap();
+            while done_rx.try_recv().is_err() {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+            server.close(PATIENCE).await;
+        });
+    });
+    let address = rx.recv().unwrap();
+    let check = |text: &str, want: &str| {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        // The server may answer and close before the last byte is written.
+        let _ = stream.write_all(text.as_bytes());
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(
+            answer.starts_with(want),
+            "{:?} gave {answer:?}",
+            &text[..text.len().min(40)]
+        );
+    };
+    let many = "a: b\r\n".repeat(200);
+    check("hello\r\n\r\n", "HTTP/1.1 400");
+    check(
+        "GET / HTTP/1.1\r\ncontent-length: many\r\n\r\n",
+        "HTTP/1.1 400",
+    );
+    check(
+        "GET / HTTP/1.1\r\ncontent-length: 9999\r\n\r\n",
+        "HTTP/1.1 413",
+    );
+    check(
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 400",
+    );
+    check(&format!("GET / HTTP/1.1\r\n{many}\r\n"), "HTTP/1.1 400");
+    check(
+        "GET /ok HTTP/1.1\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 200",
+    );
+    done_tx.send(()).unwrap();
+    server.join().unwrap();
+}
