Add stand-ins for upstreams and callers

The promises are about what ran and what callers got, so both ends have to keep count of it: the upstream of the runs by call id, the caller of the outcome of each call.

The upstream runs calls within its slots, is slow while cold, announces itself every 500 ms and when it drains, honours deadlines and closed connections, and has switches for its faults, settable while it runs: failures and slowness (all calls, one route, after n calls, over a load), hangs, refusals, lagging or misleading load, silence. The answer's first line names the call, the version and the length, and the filler depends on the call's id, so the caller notices an answer that is cut, mixed up, or someone else's.

The caller starts calls on time whether or not earlier ones have ended, since a caller that waits hides slowness, and sends each once, so that every second run is the system's doing.

--- /dev/null
+++ b/standins/upstream/src/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the upstream stand-in.
+
+mod faults;
+mod service;
