Give errors of units the line and key where they stand

Cause: the `serde_with` adapters read the text first and parsed it after the deserializer had moved on, so an error such as `30` without a unit carried the line of the struct around it and no key.

Ruled out: a crate that tracks paths (a new dependency for three adapters) and a search for the value in the text (wrong where a value stands twice).

Change: the text is parsed within the visit, so the deserializer adds the place of that very scalar.

Seen: the ticket test `errors_name_the_line_the_key_and_what_was_expected` failed before with "`line 7: services.bookings.policy: `30`: expected a unit, one of us, ms, s, m, h, d` lacks `line 9`" and passes after.

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -8,7 +8,6 @@
 
 use serde::Deserializer;
 use serde::Serializer;
-use serde::de::Error as _;
 use serde_with::DeserializeAs;
 use serde_with::SerializeAs;
 
@@ -137,8 +136,7 @@
 
 impl<'de> DeserializeAs<'de, Duration> for Span {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        let text = text(deserializer)?;
-        parse_duration(&text).map_err(D::Error::custom)
+        deserializer.deserialize_any(TextVisitor(parse_duration))
     }
 }
 
@@ -153,8 +151,7 @@
 
 impl<'de> DeserializeAs<'de, u64> for Size {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-        let text = text(deserializer)?;
-        parse_size(&text).map_err(D::Error::custom)
+        deserializer.deserialize_any(TextVisitor(parse_size))
     }
 }
 
@@ -169,34 +166,31 @@
 
 impl<'de> DeserializeAs<'de, UnixMillis> for Rfc3339 {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<UnixMillis, D::Error> {
-        let text = text(deserializer)?;
-        parse_time(&text).map_err(D::Error::custom)
+        deserializer.deserialize_any(TextVisitor(parse_time))
     }
 }
 
 /// Reads a text or a plain number, so that a number without a unit gets the unit's message.
-fn text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
-    deserializer.deserialize_any(TextVisitor)
-}
-
-struct TextVisitor;
+///
+/// The text is parsed within the visit, so that the deserializer adds its place to the error.
+struct TextVisitor<T>(fn(&str) -> Result<T, UnitError>);
 
-impl serde::de::Visitor<'_> for TextVisitor {
-    type Value = String;
+impl<T> serde::de::Visitor<'_> for TextVisitor<T> {
+    type Value = T;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("a number with a unit")
     }
 
-    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<String, E> {
-        Ok(text.to_owned())
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<T, E> {
+        (self.0)(text).map_err(E::custom)
     }
 
-    fn visit_u64<E: serde::de::Error>(self, number: u64) -> Result<String, E> {
-        Ok(number.to_string())
+    fn visit_u64<E: serde::de::Error>(self, number: u64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
     }
 
-    fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<String, E> {
-        Ok(number.to_string())
+    fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
     }
 }
