--- /dev/null
+++ b/crates/ledger/src/fold/take_back.rs
@@ -0,0 +1,150 @@
+//! Take-back of all versions that a ticket asked for.
+//!
+//! One record decides for the whole ticket. Moves under way end; a service whose move has
+//! finished returns to its version before, where that one is known and not bad itself. Routes
+//! and policies stay as they are, since configuration never goes back.
+
+use base::ServiceName;
+use base::TicketNumber;
+use base::UnixMillis;
+use base::VersionName;
+use smol_str::SmolStr;
+
+use crate::fold::Applied;
+use crate::fold::IgnoreReason;
+use crate::fold::moves::end_on_time;
+use crate::state::EndReport;
+use crate::state::Move;
+use crate::state::MoveEnd;
+use crate::state::Service;
+use crate::state::State;
+
+/// What the take-back means for one service.
+enum Effect {
+    /// The ticket's move is under way.
+    EndMove,
+    /// The ticket's move has finished, and the version before is known.
+    Return,
+    /// Nothing of the ticket is left that could go back.
+    Nothing,
+}
+
+impl State {
+    /// Ends all moves of the ticket and of the ticket that carried the named service's move on.
+    pub(super) fn take_back(
+        &mut self,
+        ticket: TicketNumber,
+        service: &str,
+        reason: &SmolStr,
+        at: UnixMillis,
+    ) -> Applied {
+        let tickets = [ticket, self.carried_on_by(ticket, service)];
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let mut changed = false;
+        for name in &names {
+            changed |= self.take_back_service(&tickets, name, reason, at);
+        }
+        if changed {
+            Applied::TakenBack
+        } else {
+            Applied::Ignored(IgnoreReason::NoSuchMove)
+        }
+    }
+
+    /// The ticket that owns the named version now. A later ticket that asked for the same
+    /// version shares the evidence against it.
+    fn carried_on_by(&self, ticket: TicketNumber, service: &str) -> TicketNumber {
+        let Some(service) = self.services.get(service) else {
+            return ticket;
+        };
+        let moving = service.moving.as_ref().map(Move::asked);
+        [moving, Some(service.stable_asked)]
+            .into_iter()
+            .flatten()
+            .find(|asked| asked.contains(ticket))
+            .map_or(ticket, |asked| asked.last)
+    }
+
+    fn take_back_service(
+        &mut self,
+        tickets: &[TicketNumber],
+        name: &ServiceName,
+        reason: &SmolStr,
+        at: UnixMillis,
+    ) -> bool {
+        let Some(service) = self.services.get_mut(name) else {
+            return false;
+        };
+        let end = MoveEnd::TakenBack {
+            reason: reason.clone(),
+        };
+        match effect(service, tickets) {
+            Effect::Nothing => false,
+            Effect::EndMove => {
+                let Some(moving) = service.moving.take() else {
+                    return false;
+                };
+                let from = service.stable.clone();
+                self.mark_bad(name, &moving.to);
+                self.report_end(name, from, &moving, end, at);
+                true
+            }
+            Effect::Return => {
+                let Some(previous) = service.previous.take() else {
+                    return false;
+                };
+                let bad = std::mem::replace(&mut service.stable, previous.clone());
+                let asked = std::mem::take(&mut service.stable_asked);
+                self.mark_bad(name, &bad);
+                self.push_end(EndReport {
+                    ticket: asked.last,
+                    service: name.clone(),
+                    from: previous,
+                    to: bad,
+                    end,
+                    at,
+                });
+                self.end_move_to_stable(name, at);
+                true
+            }
+        }
+    }
+
+    fn mark_bad(&mut self, name: &ServiceName, version: &VersionName) {
+        self.bad.insert((name.clone(), version.clone()));
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        // A later take-back must not return to a bad version.
+        if service.previous.as_ref() == Some(version) {
+            service.previous = None;
+        }
+    }
+
+    /// Ends a move whose new version became the stable one by a return to it.
+    fn end_move_to_stable(&mut self, name: &ServiceName, at: UnixMillis) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let arrived = |moving: &mut Move| moving.to == service.stable;
+        let Some(moving) = service.moving.take_if(arrived) else {
+            return;
+        };
+        service.stable_asked = moving.asked();
+        let from = service.stable.clone();
+        let end = end_on_time(&moving, at);
+        self.report_end(name, from, &moving, end, at);
+    }
+}
+
+fn effect(service: &Service, tickets: &[TicketNumber]) -> Effect {
+    let is_moving = |moving: &Move| tickets.contains(&moving.ticket);
+    if service.moving.as_ref().is_some_and(is_moving) {
+        return Effect::EndMove;
+    }
+    let is_stable = tickets.contains(&service.stable_asked.last);
+    if is_stable && service.previous.is_some() {
+        return Effect::Return;
+    }
+    Effect::Nothing
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,13 +3,24 @@
 //! Pure: no I/O and no clock. Whoever has folded the same records holds the same state, so the
 //! order of the log is the only agreement that the system needs.
 
+mod display;
+pub mod fold;
 pub mod record;
+pub mod snapshot;
+mod split;
 pub mod state;
 pub mod ticket;
 
+pub use fold::Applied;
+pub use fold::IgnoreReason;
+pub use fold::check_ticket;
 pub use record::Entry;
+pub use record::EntryError;
 pub use record::Record;
 pub use record::StampedRecord;
+pub use snapshot::Snapshot;
+pub use snapshot::SnapshotError;
+pub use state::Asked;
 pub use state::EndReport;
 pub use state::Move;
 pub use state::MoveEnd;
@@ -21,7 +32,13 @@
 pub use ticket::Class;
 pub use ticket::MovePolicy;
 pub use ticket::Preference;
+pub use ticket::RangeError;
 pub use ticket::Repeat;
 pub use ticket::Route;
 pub use ticket::ServiceSpec;
 pub use ticket::Ticket;
+pub use ticket::TicketError;
+pub use ticket::parse_yaml;
+
+#[cfg(test)]
+mod tests;
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,5 +1,7 @@
 //! Records that the log holds.
 
+use std::fmt;
+
 use base::DaemonId;
 use base::Epoch;
 use base::Offset;
@@ -25,6 +27,37 @@
     pub record: Record,
 }
 
+impl Entry {
+    /// The entry as one compact JSON text, the form in which the log holds it.
+    ///
+    /// # Panics
+    /// Never: every part of an entry has a JSON form.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        serde_json::to_string(self).expect("an entry has a JSON form")
+    }
+
+    /// Reads an entry from the log's text.
+    ///
+    /// # Errors
+    /// When the text is no entry of this version of the system.
+    pub fn from_text(text: &str) -> Result<Self, EntryError> {
+        serde_json::from_str(text).map_err(|error| EntryError(error.to_string()))
+    }
+}
+
+/// Why a text of the log is no entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryError(String);
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "not a record: {}", self.0)
+    }
+}
+
+impl std::error::Error for EntryError {}
+
 /// A record with its place in the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StampedRecord {
@@ -34,6 +67,15 @@
     pub entry: Option<Entry>,
 }
 
+impl StampedRecord {
+    /// A record as the log handed it out.
+    #[must_use]
+    pub fn from_text(offset: Offset, text: &str) -> Self {
+        let entry = Entry::from_text(text).ok();
+        Self { offset, entry }
+    }
+}
+
 /// What a record says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -58,6 +58,9 @@
     pub previous: Option<VersionName>,
     /// Ticket that last touched the service.
     pub ticket: TicketNumber,
+    /// Tickets that asked for the stable version; no number lies in it where nothing is known.
+    #[serde(default)]
+    pub stable_asked: Asked,
     /// How its moves are made.
     pub policy: MovePolicy,
     /// The move under way.
@@ -69,6 +72,9 @@
 pub struct Move {
     /// Ticket that asked for it.
     pub ticket: TicketNumber,
+    /// First of the tickets in a row that asked for the same version; `ticket` is the last.
+    #[serde(default)]
+    pub first_ticket: TicketNumber,
     /// New version.
     pub to: VersionName,
     /// When the full share should be reached.
@@ -81,6 +87,23 @@
     pub phase: Phase,
 }
 
+/// Tickets in a row that asked for one version of one service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Asked {
+    /// The first of them; 0 where none is known.
+    pub first: TicketNumber,
+    /// The last of them; 0 where none is known.
+    pub last: TicketNumber,
+}
+
+impl Asked {
+    /// Whether the ticket is one of them.
+    #[must_use]
+    pub fn contains(self, ticket: TicketNumber) -> bool {
+        self.first <= ticket && ticket <= self.last
+    }
+}
+
 /// How far a move has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- /dev/null
+++ b/crates/ledger/src/tests.rs
@@ -0,0 +1,132 @@
+//! Tests of tickets, the fold and snapshots.
+
+mod fold;
+mod properties;
+mod take_back;
+mod text;
+mod yaml;
+
+use std::time::Duration;
+
+use base::TicketNumber;
+use base::UnixMillis;
+use smol_str::format_smolstr;
+
+use crate::Applied;
+use crate::Class;
+use crate::Entry;
+use crate::Record;
+use crate::Repeat;
+use crate::Route;
+use crate::ServiceSpec;
+use crate::StampedRecord;
+use crate::State;
+use crate::Ticket;
+
+/// Wall clock of the first record in a test.
+const START: UnixMillis = 1_000_000;
+
+/// Folds records as the log would hand them out, one second apart.
+#[derive(Default)]
+struct Log {
+    state: State,
+}
+
+impl Log {
+    fn push(&mut self, record: Record) -> Applied {
+        let offset = self.state.next;
+        self.state.apply(&stamped(offset, record))
+    }
+
+    fn ticket(&mut self, number: TicketNumber, versions: &[(&str, &str)]) -> Applied {
+        self.push(Record::Ticket(ticket(number, versions)))
+    }
+
+    fn claim(&mut self, epoch: u64) -> Applied {
+        let controller = format_smolstr!("d{epoch}");
+        self.push(Record::Claim { epoch, controller })
+    }
+
+    fn step(&mut self, epoch: u64, ticket: TicketNumber, service: &str, share: u16) -> Applied {
+        let service = service.into();
+        self.push(Record::Step {
+            epoch,
+            ticket,
+            service,
+            share,
+        })
+    }
+
+    fn finish(&mut self, epoch: u64, ticket: TicketNumber, service: &str) -> Applied {
+        let service = service.into();
+        self.push(Record::Finish {
+            epoch,
+            ticket,
+            service,
+        })
+    }
+
+    fn take_back(&mut self, ticket: TicketNumber, service: &str) -> Applied {
+        self.push(Record::TakeBack {
+            ticket,
+            service: service.into(),
+            reason: "errors".into(),
+        })
+    }
+
+    /// The split of a service as text, such as `v1:950 v2:50`.
+    fn split(&self, service: &str) -> String {
+        let shares = self.state.share_of(service);
+        let parts: Vec<String> = shares.iter().map(|(v, n)| format!("{v}:{n}")).collect();
+        parts.join(" ")
+    }
+
+    /// The ends of moves as text, such as `2 a v2 done`.
+    fn ends(&self) -> Vec<String> {
+        let line = |end: &crate::EndReport| {
+            format!("{} {} {} {}", end.ticket, end.service, end.to, end.end)
+        };
+        self.state.ends.iter().map(line).collect()
+    }
+}
+
+fn stamped(offset: u64, record: Record) -> StampedRecord {
+    let entry = Entry {
+        id: format_smolstr!("r{offset}"),
+        at: START + offset * 1000,
+        record,
+    };
+    StampedRecord {
+        offset,
+        entry: Some(entry),
+    }
+}
+
+fn spec(version: &str) -> ServiceSpec {
+    ServiceSpec {
+        version: version.into(),
+        finish_by: None,
+        policy: crate::MovePolicy::default(),
+    }
+}
+
+fn route(service: &str) -> Route {
+    Route {
+        service: service.into(),
+        repeat: Repeat::AtMostOnce,
+        class: Class::Page,
+        timeout: Duration::from_secs(1),
+    }
+}
+
+fn ticket(number: TicketNumber, versions: &[(&str, &str)]) -> Ticket {
+    let services = versions
+        .iter()
+        .map(|(name, version)| ((*name).into(), spec(version)))
+        .collect();
+    Ticket {
+        ticket: number,
+        services,
+        ..Ticket::default()
+    }
+}
--- a/crates/ledger/src/ticket.rs
+++ b/crates/ledger/src/ticket.rs
@@ -1,5 +1,8 @@
 //! Change tickets as operators write them.
 
+mod check;
+mod parse;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,19 +16,32 @@
 use base::units::Span;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::MapPreventDuplicates;
 use serde_with::serde_as;
 
+pub use check::MAX_NAME_BYTES;
+pub use check::MAX_PREFIX_BYTES;
+pub use check::MAX_TIMEOUT;
+pub use check::MAX_WATCH;
+pub use check::MIN_TIMEOUT;
+pub use check::RangeError;
+pub use parse::TicketError;
+pub use parse::parse_yaml;
+
 /// A numbered change: the whole new state of the services and routes that it touches.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ticket {
     /// Must be above the number of the last accepted ticket.
     pub ticket: TicketNumber,
     /// Services that are added or changed.
     #[serde(default)]
+    #[serde_as(deserialize_as = "MapPreventDuplicates<_, _>")]
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// Routes that are added or changed, by path prefix.
     #[serde(default)]
+    #[serde_as(deserialize_as = "MapPreventDuplicates<_, _>")]
     pub routes: BTreeMap<RoutePrefix, Route>,
     /// Services that are removed.
     #[serde(default)]
