--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -136,7 +136,7 @@
 
 impl<'de> DeserializeAs<'de, Duration> for Span {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        deserializer.deserialize_any(TextVisitor(parse_duration))
+        parsed(deserializer, parse_duration)
     }
 }
 
@@ -151,7 +151,7 @@
 
 impl<'de> DeserializeAs<'de, u64> for Size {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-        deserializer.deserialize_any(TextVisitor(parse_size))
+        parsed(deserializer, parse_size)
     }
 }
 
@@ -166,16 +166,28 @@
 
 impl<'de> DeserializeAs<'de, UnixMillis> for Rfc3339 {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<UnixMillis, D::Error> {
-        deserializer.deserialize_any(TextVisitor(parse_time))
+        parsed(deserializer, parse_time)
     }
 }
 
 /// Reads a text or a plain number, so that a number without a unit gets the unit's message.
 ///
-/// The text is parsed within the visit, so that the deserializer adds its place to the error.
-struct TextVisitor<T>(fn(&str) -> Result<T, UnitError>);
+/// Parses inside the visitor: that way a format's error names the place of the value.
+fn parsed<'de, D, T>(
+    deserializer: D,
+    parse: impl Fn(&str) -> Result<T, UnitError>,
+) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    deserializer.deserialize_any(ParseVisitor { parse })
+}
+
+struct ParseVisitor<F> {
+    parse: F,
+}
 
-impl<T> serde::de::Visitor<'_> for TextVisitor<T> {
+impl<T, F: Fn(&str) -> Result<T, UnitError>> serde::de::Visitor<'_> for ParseVisitor<F> {
     type Value = T;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -183,7 +195,7 @@
     }
 
     fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<T, E> {
-        (self.0)(text).map_err(E::custom)
+        (self.parse)(text).map_err(E::custom)
     }
 
     fn visit_u64<E: serde::de::Error>(self, number: u64) -> Result<T, E> {
