Add cargo xtask test and the tidy check

One command has to say whether a change may land, the same on every machine. It runs the formatter's check, Clippy with warnings denied, a check of our own style rules and all tests, shows only what went wrong, and ends with the line `N passed, N failed`.

The style rules that neither tool checks (one import a line in three groups, a doc comment at the top of each module, files under 500 lines, tests in their own files, no banners, no dynamic dispatch on the request path) are a check on the text: a parser of the language would be a large dependency for rules about lines.

Tests that KNOWN-RED.txt lists are run and printed but do not fail the run; everything else does, also a listed test that did not run, a binary that ended without a result, and a failed build.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,2 +1,40 @@
-//! Placeholder.
-fn main() {}
+//! Tasks of the workspace: `cargo xtask test`, `cargo xtask tidy`, `cargo xtask demo`.
+
+mod steps;
+mod test;
+mod tidy;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("test", _)) => test::run(),
+        Some(("tidy", _)) => tidy::run(),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+fn command() -> Command {
+    Command::new("xtask")
+        .bin_name("cargo xtask")
+        .about("Tasks of the workspace")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("test")
+                .about("Runs the formatter's check, Clippy, the tidy check and all tests")
+                .after_help(
+                    "Tests that KNOWN-RED.txt lists are run and printed; they alone do not fail \
+                     the run.\nExit codes: 0 all passed, 1 a check or a test failed.",
+                ),
+        )
+        .subcommand(
+            Command::new("tidy").about("Checks imports, module comments and sizes of all files"),
+        )
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/xtask/src/test.rs
@@ -0,0 +1,115 @@
+//! `cargo xtask test`: every check that a change has to pass.
+
+pub mod known_red;
+pub mod output;
+
+use std::fs;
+use std::io;
+use std::process::ExitCode;
+
+use crate::steps::cargo;
+use crate::steps::root;
+use crate::steps::run_lines;
+use crate::test::known_red::KnownRed;
+use crate::test::output::Report;
+use crate::tidy;
+
+/// File at the root that lists tests which fail for a real, unmended fault.
+const KNOWN_RED_FILE: &str = "KNOWN-RED.txt";
+
+/// Checks that run before the tests.
+const CHECKS: [(&str, &[&str]); 2] = [
+    ("format", &["fmt", "--all", "--check"]),
+    (
+        "clippy",
+        &[
+            "clippy",
+            "--quiet",
+            "--locked",
+            "--workspace",
+            "--all-targets",
+            "--",
+            "-D",
+            "warnings",
+        ],
+    ),
+];
+
+const TESTS: &[&str] = &["test", "--locked", "--workspace", "--no-fail-fast"];
+
+/// Passed and failed checks and tests.
+#[derive(Debug, Default)]
+struct Tally {
+    passed: usize,
+    failed: usize,
+}
+
+impl Tally {
+    fn check(&mut self, name: &str, passed: bool) {
+        if passed {
+            println!("{name}: ok");
+            self.passed += 1;
+        } else {
+            println!("{name}: FAILED");
+            self.failed += 1;
+        }
+    }
+}
+
+/// Runs all checks and tests.
+pub fn run() -> ExitCode {
+    let mut tally = Tally::default();
+    if let Err(e) = run_all(&mut tally) {
+        println!("xtask: {e}");
+        tally.failed += 1;
+    }
+    println!("{} passed, {} failed", tally.passed, tally.failed);
+    match tally.failed {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn run_all(tally: &mut Tally) -> io::Result<()> {
+    let known = read_known_red()?;
+    for (name, args) in CHECKS {
+        let status = run_lines(cargo(args), |line| println!("{line}"))?;
+        tally.check(name, status.success());
+    }
+    let findings = tidy::findings(&root())?;
+    for finding in &findings {
+        println!("{finding}");
+    }
+    tally.check("tidy", findings.is_empty());
+    run_tests(&known, tally)
+}
+
+fn read_known_red() -> io::Result<Vec<KnownRed>> {
+    let path = root().join(KNOWN_RED_FILE);
+    if !path.exists() {
+        return Ok(Vec::new());
+    }
+    let text = fs::read_to_string(path)?;
+    known_red::parse(&text).map_err(|e| io::Error::other(format!("{KNOWN_RED_FILE}: {e}")))
+}
+
+fn run_tests(known: &[KnownRed], tally: &mut Tally) -> io::Result<()> {
+    let mut report = Report::default();
+    let status = run_lines(cargo(TESTS), |line| {
+        if report.take(line) == output::Show::Print {
+            println!("{line}");
+        }
+    })?;
+    report.end();
+    let sorted = known_red::sort(&report, known);
+    for line in &sorted.lines {
+        println!("{line}");
+    }
+    tally.passed += report.passed.len();
+    tally.failed += sorted.failed;
+    // A build that failed runs no test, so no failed test explains the exit code.
+    if !status.success() && report.failed.is_empty() {
+        tally.check("tests", false);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/test/output.rs
@@ -0,0 +1,97 @@
+//! Reads the output of `cargo test`.
+
+/// Whether a line of the output is worth showing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Show {
+    /// It is shown.
+    Print,
+    /// It only says that something went well.
+    Hide,
+}
+
+/// Tests by result, each named `binary::path::test`.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Tests that passed.
+    pub passed: Vec<String>,
+    /// Tests that failed, and binaries that ended without a result.
+    pub failed: Vec<String>,
+    /// Tests that are marked as ignored.
+    pub ignored: Vec<String>,
+    binary: Option<String>,
+}
+
+impl Report {
+    /// Takes in one line.
+    pub fn take(&mut self, line: &str) -> Show {
+        if let Some(binary) = binary_of(line) {
+            self.end();
+            self.binary = Some(binary);
+            return Show::Hide;
+        }
+        if let Some((name, result)) = result_of(line) {
+            return self.take_result(name, result);
+        }
+        if line.starts_with("test result: ") {
+            self.binary = None;
+            return Show::Hide;
+        }
+        if is_noise(line) {
+            return Show::Hide;
+        }
+        Show::Print
+    }
+
+    /// The output has ended; a binary that has given no result by now has crashed.
+    pub fn end(&mut self) {
+        if let Some(binary) = self.binary.take() {
+            self.failed
+                .push(format!("{binary}: ended without a result"));
+        }
+    }
+
+    fn take_result(&mut self, name: &str, result: &str) -> Show {
+        let binary = self.binary.as_deref().unwrap_or("unknown");
+        let name = format!("{binary}::{name}");
+        if result == "ok" {
+            self.passed.push(name);
+            return Show::Hide;
+        }
+        if result.starts_with("ignored") {
+            self.ignored.push(name);
+            return Show::Print;
+        }
+        self.failed.push(name);
+        Show::Print
+    }
+}
+
+/// Reads `Running unittests src/lib.rs (target/debug/deps/base-0123456789abcdef)` and
+/// `Doc-tests base`.
+fn binary_of(line: &str) -> Option<String> {
+    let line = line.trim_start();
+    if let Some(name) = line.strip_prefix("Doc-tests ") {
+        return Some(format!("{name}(doc)"));
+    }
+    let path = line.strip_prefix("Running ")?.strip_suffix(')')?;
+    let (_, path) = path.rsplit_once('(')?;
+    let file = path.rsplit(['/', '\\']).next()?;
+    let (name, _) = file.rsplit_once('-')?;
+    Some(name.to_owned())
+}
+
+/// Reads `test tests::name ... ok`.
+fn result_of(line: &str) -> Option<(&str, &str)> {
+    let (name, result) = line.strip_prefix("test ")?.rsplit_once(" ... ")?;
+    let name = name.strip_suffix(" - should panic").unwrap_or(name);
+    Some((name, result))
+}
+
+fn is_noise(line: &str) -> bool {
+    let line = line.trim();
+    let is_count = line.starts_with("running ") && line.ends_with(['t', 's']);
+    let is_build = ["Compiling ", "Finished ", "Blocking ", "Downloaded "]
+        .iter()
+        .any(|word| line.starts_with(word));
+    line.is_empty() || is_count || is_build
+}
--- /dev/null
+++ b/xtask/src/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the tasks.
+
+mod known_red;
+mod tidy;
--- /dev/null
+++ b/xtask/src/tidy/imports.rs
@@ -0,0 +1,84 @@
+//! Rules about imports: one a line, without braces, in three groups with blank lines between.
+
+/// Group of an import; the groups stand in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Group {
+    Std,
+    Other,
+    Own,
+}
+
+/// Lines and what was expected there.
+pub fn check(text: &str) -> Vec<(usize, String)> {
+    let mut found = Vec::new();
+    let mut last: Option<Group> = None;
+    let mut gap = Gap::None;
+    for (i, line) in text.lines().enumerate() {
+        if is_import(line) && (line.contains('{') || line.matches(';').count() > 1) {
+            found.push((
+                i + 1,
+                "expected one import a line, without braces".to_owned(),
+            ));
+        }
+        // Imports inside of functions and re-exports are no part of the groups.
+        let Some(path) = line.strip_prefix("use ") else {
+            gap = gap.after(line);
+            continue;
+        };
+        let group = group_of(path);
+        if let Some(expected) = last.and_then(|last| order(last, group, gap)) {
+            found.push((i + 1, expected.to_owned()));
+        }
+        last = Some(group);
+        gap = Gap::None;
+    }
+    found
+}
+
+/// What stands between two imports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gap {
+    None,
+    Blank,
+    Code,
+}
+
+impl Gap {
+    fn after(self, line: &str) -> Self {
+        match self {
+            Self::Code => Self::Code,
+            _ if line.trim().is_empty() => Self::Blank,
+            _ if is_import(line) || line.starts_with("#[") => self,
+            _ => Self::Code,
+        }
+    }
+}
+
+fn order(last: Group, group: Group, gap: Gap) -> Option<&'static str> {
+    if group < last {
+        return Some("expected groups in the order std, other crates, own crate");
+    }
+    match (group == last, gap) {
+        (true, Gap::Blank) => Some("expected no blank line within a group of imports"),
+        (false, Gap::None) => Some("expected a blank line between groups of imports"),
+        _ => None,
+    }
+}
+
+fn is_import(line: &str) -> bool {
+    let line = line.trim_start();
+    let line = match line.strip_prefix("pub") {
+        Some(rest) => rest.strip_prefix("(crate)").unwrap_or(rest).trim_start(),
+        None => line,
+    };
+    line.starts_with("use ")
+}
+
+fn group_of(path: &str) -> Group {
+    let first = path.split([':', ';', ' ']).next().unwrap_or_default();
+    match first {
+        "std" | "core" | "alloc" => Group::Std,
+        "crate" | "super" | "self" => Group::Own,
+        _ => Group::Other,
+    }
+}
--- /dev/null
+++ b/xtask/src/tidy/rules.rs
@@ -0,0 +1,77 @@
+//! Rules about a file as a whole and about single lines.
+
+/// Most lines of a file.
+const MAX_LINES: usize = 500;
+
+/// Lines at the top in which a licence banner would stand.
+const BANNER_LINES: usize = 20;
+
+/// Words of licence banners, in lower case.
+const BANNER_WORDS: [&str; 4] = [
+    "spdx-",
+    "copyright",
+    "licensed under",
+    "all rights reserved",
+];
+
+/// Directories on the path of a request, where dispatch is static.
+const REQUEST_PATH: [&str; 5] = [
+    "crates/base/src",
+    "crates/daemon/src",
+    "crates/http-edge/src",
+    "crates/protocol/src",
+    "crates/routing/src",
+];
+
+/// Lines and what was expected there.
+pub fn check(file: &str, text: &str) -> Vec<(usize, String)> {
+    let mut found = Vec::new();
+    let mut expect = |line: usize, expected: &str| found.push((line, expected.to_owned()));
+    if !text.starts_with("//! ") {
+        expect(1, "expected a doc comment of the module at the top");
+    }
+    let lines = text.lines().count();
+    if lines >= MAX_LINES {
+        expect(lines, "expected fewer than 500 lines");
+    }
+    for (i, line) in text.lines().enumerate() {
+        if i < BANNER_LINES && is_banner(line) {
+            expect(i + 1, "expected no licence banner");
+        }
+        if opens_inline_tests(line) {
+            expect(i + 1, "expected tests in a file of their own");
+        }
+        if is_on_request_path(file) && has_word(code_of(line), "dyn") {
+            expect(i + 1, "expected no `dyn` on the request path");
+        }
+    }
+    found
+}
+
+fn is_banner(line: &str) -> bool {
+    let line = line.trim_start();
+    let is_comment = ["//", "/*", "*"]
+        .iter()
+        .any(|start| line.starts_with(start));
+    let line = line.to_lowercase();
+    is_comment && BANNER_WORDS.iter().any(|word| line.contains(word))
+}
+
+fn opens_inline_tests(line: &str) -> bool {
+    let name = line.trim_start().strip_prefix("mod ");
+    name.is_some_and(|name| name.starts_with("test") && line.ends_with('{'))
+}
+
+fn is_on_request_path(file: &str) -> bool {
+    let is_test = file.contains("/tests/") || file.ends_with("/tests.rs");
+    !is_test && REQUEST_PATH.iter().any(|dir| file.starts_with(dir))
+}
+
+fn code_of(line: &str) -> &str {
+    line.split("//").next().unwrap_or_default()
+}
+
+fn has_word(text: &str, word: &str) -> bool {
+    let is_other = |c: char| !c.is_alphanumeric() && c != '_';
+    text.split(is_other).any(|part| part == word)
+}
