Add cargo xtask demo

It runs the whole system as separate processes and judges it by counts alone: what callers got, what upstreams ran, what daemons say they hold. Ten upstreams of two zones, each with its daemon; one move to a good version by the ticket's time, one bad version taken back, the daemons of one zone stopped one by one under load.

Each demo takes a network of the loopback interface for itself, from its process number: two on one machine do not meet, and no port has to be guessed. Settings and tickets are the examples with names, addresses and times replaced. Every process is held by its handle, asked to end and then killed, also after an interrupt, so none outlives the demo.

A thread reads the status of all daemons all the time: a check at the end alone would miss a daemon that went back to an older ticket for a moment.

Each check has a test with evidence in which just its promise is broken, so none passes by accident. Not run against the daemon yet, which this tree does not have.

--- /dev/null
+++ b/xtask/src/demo/callers.rs
@@ -0,0 +1,77 @@
+//! Callers of the demo: one process for each route.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standin_caller::CallRecord;
+
+use crate::demo::Result;
+use crate::demo::error::DemoError;
+use crate::demo::fleet::Fleet;
+use crate::demo::process::Interrupt;
+
+/// Callers: route, kind, calls a second.
+const CALLERS: [(&str, &str, &str); 4] = [
+    ("/catalogue", "idempotent", "200"),
+    ("/bookings/fittings", "idempotent", "60"),
+    ("/bookings", "at-most-once", "200"),
+    ("/payments", "at-most-once", "200"),
+];
+
+/// Longest time until a caller has its last answer.
+const END_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Starts all callers; they go on until they are ended.
+pub fn start(fleet: &mut Fleet, seed: u64) -> Result<()> {
+    let calls = fleet
+        .instances
+        .iter()
+        .map(|instance| instance.calls().to_string());
+    let to = calls.collect::<Vec<_>>().join(",");
+    let seed = seed.to_string();
+    for (route, kind, rate) in CALLERS {
+        let records = records_path(fleet, route).display().to_string();
+        let options = [
+            ("--to", to.as_str()),
+            ("--route", route),
+            ("--kind", kind),
+            ("--rate", rate),
+            ("--duration", "10m"),
+            ("--seed", &seed),
+            ("--records", &records),
+        ];
+        let args = options.into_iter().flat_map(|(name, value)| [name, value]);
+        let args: Vec<String> = args.map(str::to_owned).collect();
+        fleet.spawn(&name(route), "standin-caller", &args)?;
+    }
+    Ok(())
+}
+
+/// Ends all callers; returns every call.
+pub fn end(fleet: &mut Fleet, interrupt: &Interrupt) -> Result<Vec<CallRecord>> {
+    let mut records = Vec::new();
+    for (route, ..) in CALLERS {
+        let mut caller = fleet.take(&name(route))?;
+        caller.terminate()?;
+        caller.wait(interrupt, END_PATIENCE)?;
+        records.extend(read_records(&records_path(fleet, route))?);
+    }
+    Ok(records)
+}
+
+fn name(route: &str) -> String {
+    format!("caller{}", route.replace('/', "-"))
+}
+
+fn records_path(fleet: &Fleet, route: &str) -> PathBuf {
+    fleet.dir().join(format!("{}.jsonl", name(route)))
+}
+
+fn read_records(path: &Path) -> Result<Vec<CallRecord>> {
+    let text =
+        fs::read_to_string(path).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+    let parse = |line| serde_json::from_str(line).map_err(|e| DemoError::Broken(e.to_string()));
+    text.lines().map(parse).collect()
+}
--- /dev/null
+++ b/xtask/src/demo/client.rs
@@ -0,0 +1,51 @@
+//! Requests of the demo to daemons and stand-ins.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_edge::Conn;
+use http_edge::Limits;
+use http_edge::Request;
+use http_edge::Response;
+use http_edge::block_on;
+use protocol::status::STATUS_PATH;
+use protocol::status::Status;
+use serde::de::DeserializeOwned;
+
+use crate::demo::Result;
+use crate::demo::error::DemoError;
+
+/// Timeout of a request.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The runs of a whole demo fit into an answer of this size, in bytes.
+const ANSWER: usize = 16 * 1024 * 1024;
+
+/// Sends a request over a connection of its own.
+pub fn send(to: SocketAddr, req: Request) -> Result<Response> {
+    let limits = Limits {
+        body: ANSWER,
+        ..Limits::default()
+    };
+    let target = req.target.clone();
+    let broken = |e: String| DemoError::Broken(format!("{to}{target}: {e}"));
+    block_on(async {
+        let mut conn = Conn::connect(to, TIMEOUT, limits)
+            .await
+            .map_err(|e| broken(e.to_string()))?;
+        let res = conn.call(req, TIMEOUT).await;
+        res.map_err(|e| broken(e.to_string()))
+    })
+}
+
+/// Reads a JSON answer.
+pub fn get<T: DeserializeOwned>(from: SocketAddr, path: &str) -> Result<T> {
+    let res = send(from, Request::get(path))?;
+    serde_json::from_slice(&res.body)
+        .map_err(|e| DemoError::Broken(format!("{from}{path}: {}: {e}", res.status)))
+}
+
+/// Reads the status of a daemon.
+pub fn status(daemon: SocketAddr) -> Result<Status> {
+    get(daemon, STATUS_PATH)
+}
--- /dev/null
+++ b/xtask/src/demo/error.rs
@@ -0,0 +1,33 @@
+//! Why the demo did not come to its end.
+
+use std::fmt;
+use std::io;
+
+/// Why the demo did not come to its end.
+#[derive(Debug)]
+pub enum DemoError {
+    /// The operator asked to end.
+    Interrupted,
+    /// The system refused something; holds what.
+    Io(String, io::Error),
+    /// Something did not happen in time.
+    TimedOut(String),
+    /// A program or a process did not do its part.
+    Broken(String),
+    /// These checks did not hold.
+    Checks(Vec<String>),
+}
+
+impl fmt::Display for DemoError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Interrupted => f.write_str("interrupted"),
+            Self::Io(what, e) => write!(f, "{what}: {e}"),
+            Self::TimedOut(what) => write!(f, "timed out: {what}"),
+            Self::Broken(what) => f.write_str(what),
+            Self::Checks(names) => write!(f, "did not hold: {}", names.join("; ")),
+        }
+    }
+}
+
+impl std::error::Error for DemoError {}
--- /dev/null
+++ b/xtask/src/demo/process.rs
@@ -0,0 +1,175 @@
+//! Processes that the demo starts, and their end.
+
+use std::ffi::OsStr;
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+
+use crate::demo::Result;
+use crate::demo::error::DemoError;
+
+/// How often something that is waited for is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Set once the operator asked to end.
+#[derive(Debug, Clone)]
+pub struct Interrupt {
+    flag: Arc<AtomicBool>,
+}
+
+impl Interrupt {
+    /// Takes over the signals that ask to end.
+    pub fn register() -> Result<Self> {
+        let flag = Arc::new(AtomicBool::new(false));
+        for signal in [SIGINT, SIGTERM, SIGHUP] {
+            signal_hook::flag::register(signal, Arc::clone(&flag))
+                .map_err(|e| DemoError::Io("signals".to_owned(), e))?;
+        }
+        Ok(Self { flag })
+    }
+
+    /// An error once the operator asked to end.
+    pub fn check(&self) -> Result<()> {
+        if self.flag.load(Ordering::Relaxed) {
+            return Err(DemoError::Interrupted);
+        }
+        Ok(())
+    }
+
+    /// Pauses, unless the operator asks to end.
+    pub fn pause(&self, time: Duration) -> Result<()> {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.check()?;
+            thread::sleep(POLL);
+        }
+        self.check()
+    }
+
+    /// Looks until something is there.
+    pub fn until<T>(
+        &self,
+        what: &str,
+        patience: Duration,
+        mut look: impl FnMut() -> Option<T>,
+    ) -> Result<T> {
+        let end = Instant::now() + patience;
+        loop {
+            if let Some(found) = look() {
+                return Ok(found);
+            }
+            if Instant::now() > end {
+                return Err(DemoError::TimedOut(what.to_owned()));
+            }
+            self.pause(POLL)?;
+        }
+    }
+}
+
+/// A process of the demo; killed when dropped.
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program; its output goes to `NAME.log` in `dir`.
+    pub fn start<S: AsRef<OsStr>>(
+        name: &str,
+        program: &Path,
+        args: impl IntoIterator<Item = S>,
+        dir: &Path,
+    ) -> Result<Self> {
+        let path = log_path(dir, name);
+        let file = File::options().create(true).append(true).open(&path);
+        let out = file.map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+        let err = out
+            .try_clone()
+            .map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()
+            .map_err(|e| DemoError::Io(program.display().to_string(), e))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Its exit status if it has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Asks it to end.
+    pub fn terminate(&mut self) -> Result<()> {
+        if self.ended().is_some() {
+            return Ok(());
+        }
+        // The standard library can only kill; every POSIX shell can ask.
+        Command::new("sh")
+            .args(["-c", "kill -TERM \"$1\"", "sh"])
+            .arg(self.child.id().to_string())
+            .status()
+            .map_err(|e| DemoError::Io("kill".to_owned(), e))?;
+        Ok(())
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self, interrupt: &Interrupt, patience: Duration) -> Result<ExitStatus> {
+        let what = format!("the end of {}", self.name);
+        interrupt.until(&what, patience, || self.ended())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.ended().is_none() {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+    }
+}
+
+/// Ends processes: asks all at once, waits for a while, kills the rest.
+pub fn end_all(processes: &mut Vec<Process>, patience: Duration) {
+    for process in processes.iter_mut() {
+        let _ = process.terminate();
+    }
+    let end = Instant::now() + patience;
+    while Instant::now() < end
+        && processes
+            .iter_mut()
+            .any(|process| process.ended().is_none())
+    {
+        thread::sleep(POLL);
+    }
+    processes.clear();
+}
+
+/// Where the output of a process goes.
+pub fn log_path(dir: &Path, name: &str) -> PathBuf {
+    dir.join(format!("{name}.log"))
+}
--- /dev/null
+++ b/xtask/src/demo/table.rs
@@ -0,0 +1,24 @@
+//! Plain tables for the terminal.
+
+/// Formats rows under a head, columns as wide as their widest cell.
+pub fn format<const N: usize>(head: [&str; N], rows: &[[String; N]]) -> String {
+    let mut widths = head.map(str::len);
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let mut text = line(&head.map(str::to_owned), &widths);
+    for row in rows {
+        text.push_str(&line(row, &widths));
+    }
+    text
+}
+
+fn line<const N: usize>(cells: &[String; N], widths: &[usize; N]) -> String {
+    let padded = cells.iter().zip(widths);
+    let padded: Vec<String> = padded
+        .map(|(cell, width)| format!("{cell:width$}"))
+        .collect();
+    format!("{}\n", padded.join("  ").trim_end())
+}
--- /dev/null
+++ b/xtask/src/demo/tickets.rs
@@ -0,0 +1,148 @@
+//! Tickets of the demo, made from the examples, and their publication by the command line.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use base::TicketNumber;
+use base::units::unix_millis;
+use ledger::Ticket;
+
+use crate::demo::Result;
+use crate::demo::error::DemoError;
+use crate::demo::fleet::Fleet;
+use crate::demo::process::Interrupt;
+use crate::demo::process::Process;
+use crate::demo::process::log_path;
+use crate::steps::root;
+
+/// Second ticket: bookings to a good version.
+pub const GOOD: TicketNumber = 2;
+/// Third ticket: payments to a bad version.
+pub const BAD: TicketNumber = 3;
+
+/// Time that the good version's move is given.
+pub const MOVE_TIME: Duration = Duration::from_secs(15);
+
+/// How long a version is watched after it got all calls.
+const WATCH: Duration = Duration::from_secs(3);
+
+/// Longest time that a verdict may take.
+const VERDICT_PATIENCE: Duration = Duration::from_secs(10);
+
+/// The first example.
+pub fn start() -> Result<Ticket> {
+    example("1-tanoa-start.yaml")
+}
+
+/// The second example with a time that lies near.
+pub fn good() -> Result<Ticket> {
+    let mut ticket = example("2-tanoa-bookings-v2.yaml")?;
+    let finish_by = unix_millis(SystemTime::now() + MOVE_TIME);
+    for spec in ticket.services.values_mut() {
+        spec.finish_by = Some(finish_by);
+        spec.policy.watch = WATCH;
+    }
+    Ok(ticket)
+}
+
+/// The second example for payments.
+pub fn bad() -> Result<Ticket> {
+    let mut ticket = good()?;
+    ticket.ticket = BAD;
+    let specs = std::mem::take(&mut ticket.services);
+    ticket.services = specs
+        .into_values()
+        .map(|spec| ("payments".into(), spec))
+        .collect();
+    Ok(ticket)
+}
+
+fn example(name: &str) -> Result<Ticket> {
+    let path = root().join("examples/tickets").join(name);
+    let text =
+        fs::read_to_string(&path).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+    serde_yaml_ng::from_str(&text).map_err(|e| DemoError::Broken(format!("{name}: {e}")))
+}
+
+/// Writes a ticket into a file.
+pub fn write(fleet: &Fleet, name: &str, ticket: &Ticket) -> Result<PathBuf> {
+    let path = fleet.dir().join(format!("{name}.yaml"));
+    let text = serde_yaml_ng::to_string(ticket).map_err(|e| DemoError::Broken(e.to_string()))?;
+    fs::write(&path, text).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+    Ok(path)
+}
+
+/// What the command line said.
+#[derive(Debug, Clone)]
+pub struct Said {
+    /// Its exit code.
+    pub code: i32,
+    /// Last line of its output.
+    pub last: String,
+}
+
+/// Publishes a ticket; returns once the verdict is known.
+pub fn publish(fleet: &Fleet, interrupt: &Interrupt, name: &str, ticket: &Ticket) -> Result<Said> {
+    let file = write(fleet, name, ticket)?.display().to_string();
+    let log = fleet.log().to_string();
+    let args = ["ticket", "publish", &file, "--log", &log];
+    run(
+        fleet,
+        interrupt,
+        &format!("publish-{name}"),
+        &args,
+        VERDICT_PATIENCE,
+    )
+}
+
+/// Follows a ticket until its moves have ended.
+pub fn watch(
+    fleet: &Fleet,
+    interrupt: &Interrupt,
+    number: TicketNumber,
+    patience: Duration,
+) -> Result<Said> {
+    let log = fleet.log().to_string();
+    let args = ["ticket", "watch", &number.to_string(), "--log", &log];
+    run(
+        fleet,
+        interrupt,
+        &format!("watch-{number}"),
+        &args,
+        patience,
+    )
+}
+
+/// Checks a ticket without publishing it; returns the exit code.
+pub fn check(fleet: &Fleet, ticket: &Ticket) -> Result<i32> {
+    let file = write(fleet, "check", ticket)?;
+    let status = Command::new(fleet.program("bronzehead"))
+        .args(["ticket", "check"])
+        .arg(file)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .status()
+        .map_err(|e| DemoError::Io("bronzehead".to_owned(), e))?;
+    Ok(status.code().unwrap_or(-1))
+}
+
+fn run(
+    fleet: &Fleet,
+    interrupt: &Interrupt,
+    name: &str,
+    args: &[&str],
+    patience: Duration,
+) -> Result<Said> {
+    let mut process = Process::start(name, &fleet.program("bronzehead"), args, fleet.dir())?;
+    let status = process.wait(interrupt, patience)?;
+    let text = fs::read_to_string(log_path(fleet.dir(), name)).unwrap_or_default();
+    let last = text.lines().rfind(|line| !line.trim().is_empty());
+    Ok(Said {
+        code: status.code().unwrap_or(-1),
+        last: last.unwrap_or_default().to_owned(),
+    })
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Tasks of the workspace: `cargo xtask test`, `cargo xtask tidy`, `cargo xtask demo`.
 
+mod demo;
 mod steps;
 mod test;
 mod tidy;
@@ -13,6 +14,7 @@
     match matches.subcommand() {
         Some(("test", _)) => test::run(),
         Some(("tidy", _)) => tidy::run(),
+        Some(("demo", matches)) => demo::run(matches),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
@@ -31,6 +33,7 @@
                      the run.\nExit codes: 0 all passed, 1 a check or a test failed.",
                 ),
         )
+        .subcommand(demo::command())
         .subcommand(
             Command::new("tidy").about("Checks imports, module comments and sizes of all files"),
         )
--- a/xtask/src/tests.rs
+++ b/xtask/src/tests.rs
@@ -1,4 +1,5 @@
 //! Tests of the tasks.
 
+mod demo;
 mod known_red;
 mod tidy;
--- /dev/null
+++ b/xtask/src/tests/demo.rs
@@ -0,0 +1,182 @@
+//! Tests that the demo's checks notice each broken promise.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ledger::EndReport;
+use ledger::MoveEnd;
+use ledger::State;
+use protocol::status::Status;
+use standin_caller::CallRecord;
+use standin_caller::Outcome;
+
+use crate::demo::checks::Evidence;
+use crate::demo::checks::Held;
+use crate::demo::checks::all;
+use crate::demo::table;
+use crate::demo::watcher::Newest;
+use crate::demo::watcher::Watched;
+
+fn end(ticket: u64, service: &str, end: MoveEnd) -> EndReport {
+    EndReport {
+        ticket,
+        service: service.into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        end,
+        at: 0,
+    }
+}
+
+fn status() -> Status {
+    let text = r#"{"next": 9, "ticket": 3, "epoch": 1, "controller": "a", "routes": {}, "bad": [],
+        "verdicts": [], "ends": [], "recent": [], "services": {
+        "bookings": {"stable": "v2", "previous": "v1", "ticket": 2, "moving": null, "policy": {}},
+        "payments": {"stable": "v1", "previous": null, "ticket": 3, "moving": null, "policy": {}}}}"#;
+    let mut state: State = serde_json::from_str(text).unwrap();
+    let taken_back = MoveEnd::TakenBack {
+        reason: "errors".into(),
+    };
+    state.ends = VecDeque::from([
+        end(2, "bookings", MoveEnd::Done),
+        end(3, "payments", taken_back),
+    ]);
+    Status {
+        daemon: "a".into(),
+        incarnation: 1,
+        zone: "suva-a".into(),
+        next: 9,
+        ticket: 3,
+        epoch: 1,
+        controller: Some("a".into()),
+        members: Vec::new(),
+        state,
+    }
+}
+
+fn record(id: String, outcome: Outcome) -> CallRecord {
+    CallRecord::new(id.into(), outcome, Duration::from_millis(1))
+}
+
+/// Evidence of a demo in which everything held.
+fn good() -> Evidence {
+    let ids: Vec<String> = (0..100).map(|n| format!("o.payments.1.{n}")).collect();
+    let record = |id: &String| record(id.clone(), Outcome::Ok("v1".into()));
+    Evidence {
+        records: ids.iter().map(record).collect(),
+        runs: ids.iter().map(|id| (id.into(), 1)).collect(),
+        statuses: vec![status(), status()],
+        bad_runs: [5, 5],
+        stops: [3, 3],
+        watched: Watched {
+            looks: 10,
+            reverted: 0,
+        },
+        refusals: [2, 2],
+    }
+}
+
+fn failed(evidence: &Evidence) -> Vec<&'static str> {
+    let checks = all(evidence);
+    let failed = checks.iter().filter(|check| check.held == Held::No);
+    failed.map(|check| check.name).collect()
+}
+
+/// Checks that one change of good evidence fails just one check.
+#[track_caller]
+fn check(name: &str, change: impl FnOnce(&mut Evidence)) {
+    let mut evidence = good();
+    change(&mut evidence);
+    assert_eq!(failed(&evidence), [name]);
+}
+
+#[test]
+fn good_evidence_passes_every_check() {
+    assert_eq!(failed(&good()), [""; 0]);
+}
+
+#[test]
+fn each_broken_promise_about_calls_is_noticed() {
+    let with = |outcome| {
+        move |evidence: &mut Evidence| {
+            evidence
+                .records
+                .push(record("o.payments.1.x".to_owned(), outcome));
+        }
+    };
+    check("answers cut short or crossed", with(Outcome::Wrong));
+    check("requests cut", with(Outcome::Cut));
+    check("calls without an answer in time", with(Outcome::Late));
+    check(
+        "calls without an answer in time",
+        with(Outcome::Unreachable),
+    );
+    check("calls of unknown outcome", with(Outcome::Unknown));
+    let without = Outcome::RefusedWithoutRetryAfter;
+    check("refusals without Retry-After", with(without));
+    check("answered calls that ran", with(Outcome::Ok("v1".into())));
+    check("calls answered", |evidence| {
+        let refused = |n| record(format!("o.payments.1.r{n}"), Outcome::Refused);
+        evidence.records.extend((0..100).map(refused));
+    });
+    check("runs of calls refused as not run", |evidence| {
+        evidence.records[7].outcome = Outcome::Refused;
+    });
+    check("doubled runs of at-most-once calls", |evidence| {
+        evidence.runs.insert("o.payments.1.7".into(), 2);
+    });
+}
+
+#[test]
+fn each_broken_promise_about_versions_and_tickets_is_noticed() {
+    check("payments that reached the bad version", |evidence| {
+        evidence.bad_runs = [11, 11];
+    });
+    check("of them, later than it was taken back", |evidence| {
+        evidence.bad_runs = [5, 6];
+    });
+    check("planned stops", |evidence| evidence.stops = [3, 2]);
+    check("statuses older than before", |evidence| {
+        evidence.watched.reverted = 1;
+    });
+    check("faulty tickets refused", |evidence| {
+        evidence.refusals = [2, 1];
+    });
+    check("daemons with the last ticket", |evidence| {
+        evidence.statuses[1].ticket = 2;
+    });
+    check("move of bookings in time", |evidence| {
+        for status in &mut evidence.statuses {
+            status.state.ends[0].end = MoveEnd::DoneLate { by_ms: 1 };
+        }
+    });
+    check("end of the move of payments", |evidence| {
+        evidence.statuses[0].state.ends.pop_back();
+    });
+    check("payments back on v1", |evidence| {
+        let services = &mut evidence.statuses[1].state.services;
+        services.get_mut("payments").unwrap().stable = "v2".into();
+    });
+}
+
+#[test]
+fn a_daemon_that_goes_back_is_noticed_also_after_its_restart() {
+    let at = |incarnation, next, ticket| Status {
+        incarnation,
+        next,
+        ticket,
+        ..status()
+    };
+    let mut newest = Newest::default();
+    assert!(!newest.is_reverted_by(&at(1, 9, 3)));
+    assert!(newest.is_reverted_by(&at(1, 8, 3)));
+    assert!(!newest.is_reverted_by(&at(2, 0, 0)));
+    assert!(newest.is_reverted_by(&at(2, 5, 2)));
+    assert!(!newest.is_reverted_by(&at(2, 9, 3)));
+}
+
+#[test]
+fn columns_are_as_wide_as_their_widest_cell() {
+    let rows = [["a".to_owned(), "1".to_owned()]];
+    assert_eq!(table::format(["name", "n"], &rows), "name  n\na     1\n");
+}
