Read and append to the platform's log, with a stand-in for it

Reason: what the log says decides everything, and the log is down, slow, loses answers and forgets. Each of these needs one answer that all daemons share.

Weighed: one record stream or several. One, since its order is the agreement;

append that got no answer is repeated: yes, under capped jittered pauses and with the same text, since the fold passes over a second copy; the error at the end says whether an attempt may have reached the log.

Change: `platform` holds the protocol's types, `LogClient` (a deadline on each request, idle connections dropped when one fails), `SnapshotStore`, the pure `LogReader` and `Backoff`, and `Follower`, which drives them and folds. `standin-log` keeps streams in bounded memory and has switches for outages, latency, lost answers, silent requests, the rate of appends and retention.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Client of the platform's append-only log.
+//!
+//! The protocol is HTTP with JSON, see [`wire`]. [`LogClient`] appends and reads with a deadline
+//! on every request, [`SnapshotStore`] keeps snapshots in a stream of their own, [`LogReader`]
+//! decides what a reader does next, and [`Follower`] drives the three and folds what comes.
+
+pub mod backoff;
+mod client;
+mod error;
+mod follower;
+mod reader;
+mod snapshots;
+pub mod wire;
+
+pub use backoff::Backoff;
+pub use backoff::BackoffCfg;
+pub use client::LogCfg;
+pub use client::LogClient;
+pub use client::Page;
+pub use error::AppendError;
+pub use error::LogError;
+pub use follower::Follower;
+pub use follower::Progress;
+pub use reader::LogReader;
+pub use reader::ReadStep;
+pub use snapshots::SnapshotStore;
+
+/// Stream of tickets and of the controller's records.
+pub const RECORD_STREAM: &str = "records";
+
+/// Stream of snapshots.
+pub const SNAPSHOT_STREAM: &str = "snapshots";
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/tests.rs
@@ -0,0 +1,144 @@
+//! Tests of the pure parts: backoff and the reader's decisions.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+
+use crate::Backoff;
+use crate::BackoffCfg;
+use crate::LogError;
+use crate::LogReader;
+use crate::ReadStep;
+
+const CFG: BackoffCfg = BackoffCfg {
+    first: Duration::from_millis(100),
+    cap: Duration::from_secs(1),
+};
+
+#[test]
+fn pauses_grow_to_the_cap_and_start_anew_after_a_success() {
+    let mut backoff = Backoff::new(CFG, 7);
+    for ceiling in [100, 200, 400, 800, 1000, 1000] {
+        let pause = backoff.next_pause();
+        let ceiling = Duration::from_millis(ceiling);
+        assert!(pause <= ceiling && pause >= ceiling / 2, "{pause:?}");
+    }
+    backoff.reset();
+    assert!(backoff.next_pause() <= CFG.first);
+}
+
+#[test]
+fn processes_that_fail_together_pause_differently() {
+    let pauses: Vec<Duration> = (0..100)
+        .map(|seed| Backoff::new(CFG, seed).next_pause())
+        .collect();
+    let early = pauses.iter().filter(|p| **p < CFG.first * 3 / 4).count();
+    assert!(
+        (25..=75).contains(&early),
+        "{early} of 100 in the first half"
+    );
+}
+
+/// What happens to a reader.
+#[derive(Clone)]
+enum Event {
+    Records(u64),
+    Snapshot(Option<u64>),
+    Error(LogError),
+}
+
+fn expired() -> Event {
+    Event::Error(LogError::Expired {
+        oldest: 50,
+        next: 80,
+    })
+}
+
+fn feed(reader: &mut LogReader, event: Event) {
+    match event {
+        Event::Records(next) => reader.on_records(next),
+        Event::Snapshot(next) => reader.on_snapshot(next),
+        Event::Error(error) => reader.on_error(&error),
+    }
+}
+
+fn steps(reader: &mut LogReader) -> String {
+    match reader.step() {
+        ReadStep::Read { from } => format!("read {from}"),
+        ReadStep::LoadSnapshot => "snapshot".to_owned(),
+        ReadStep::Wait(_) => format!("wait, {}", steps(reader)),
+    }
+}
+
+#[test]
+fn a_reader_decides_between_log_snapshot_and_pause() {
+    let check = |mut reader: LogReader, events: &[(Event, &str)]| {
+        for (i, (event, want)) in events.iter().enumerate() {
+            feed(&mut reader, event.clone());
+            assert_eq!(steps(&mut reader), *want, "event {i}");
+        }
+    };
+    let cold = LogReader::cold(Backoff::new(CFG, 1));
+    let warm = LogReader::resume(10, Backoff::new(CFG, 1));
+    let down = Event::Error(LogError::Down("refused".to_owned()));
+    let slow = Event::Error(LogError::Slow);
+    let throttled = Event::Error(LogError::Throttled(Duration::from_secs(1)));
+    let rewound = Event::Error(LogError::Rewound { next: 3 });
+    let bad = Event::Error(LogError::Bad("html".to_owned()));
+
+    assert_eq!(steps(&mut cold.clone()), "snapshot");
+    assert_eq!(steps(&mut warm.clone()), "read 10");
+    check(cold.clone(), &[(Event::Snapshot(Some(60)), "read 60")]);
+    check(cold.clone(), &[(Event::Snapshot(None), "read 0")]);
+    check(cold.clone(), &[(down.clone(), "wait, snapshot")]);
+    check(warm.clone(), &[(Event::Records(12), "read 12")]);
+    for error in [down.clone(), slow, throttled, rewound, bad] {
+        check(warm.clone(), &[(error, "wait, read 10")]);
+    }
+    // Records expired: snapshot and tail.
+    check(
+        warm.clone(),
+        &[
+            (expired(), "snapshot"),
+            (Event::Snapshot(Some(60)), "read 60"),
+            (Event::Records(80), "read 80"),
+        ],
+    );
+    // No snapshot, or one that is older than what the reader has, does not help yet.
+    check(
+        warm.clone(),
+        &[
+            (expired(), "snapshot"),
+            (Event::Snapshot(None), "wait, snapshot"),
+            (Event::Snapshot(Some(9)), "wait, snapshot"),
+            (down, "wait, snapshot"),
+            (Event::Snapshot(Some(70)), "read 70"),
+        ],
+    );
+    // A cold reader whose snapshot has expired records behind it.
+    check(
+        cold,
+        &[
+            (Event::Snapshot(Some(40)), "read 40"),
+            (expired(), "snapshot"),
+            (Event::Snapshot(Some(40)), "wait, snapshot"),
+        ],
+    );
+}
+
+quickcheck! {
+    fn a_reader_never_goes_back(events: Vec<(u8, u64)>) -> bool {
+        let mut reader = LogReader::cold(Backoff::new(CFG, 1));
+        events.into_iter().all(|(kind, n)| {
+            let before = reader.next_offset();
+            feed(&mut reader, match kind % 5 {
+                0 => Event::Records(n),
+                1 => Event::Snapshot(Some(n)),
+                2 => Event::Snapshot(None),
+                3 => expired(),
+                _ => Event::Error(LogError::Rewound { next: n }),
+            });
+            reader.next_offset() >= before
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/contract.rs
@@ -0,0 +1,350 @@
+//! The log's protocol, held against the stand-in under its faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use http_edge::Conn;
+use http_edge::Limits;
+use http_edge::Request;
+use http_edge::block_on;
+use ledger::Entry;
+use ledger::Record;
+use ledger::Snapshot;
+use ledger::State;
+use platform::AppendError;
+use platform::BackoffCfg;
+use platform::Follower;
+use platform::LogCfg;
+use platform::LogClient;
+use platform::LogError;
+use platform::Progress;
+use platform::RECORD_STREAM;
+use platform::SNAPSHOT_STREAM;
+use platform::SnapshotStore;
+use standin_log::Cfg;
+use standin_log::Faults;
+use standin_log::Outage;
+use standin_log::Running;
+
+/// Longer than any test; only a fault waits for it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const CFG: LogCfg = LogCfg {
+    connect: PATIENCE,
+    timeout: Duration::from_secs(1),
+    append_within: Duration::from_secs(4),
+    backoff: BackoffCfg {
+        first: Duration::from_millis(5),
+        cap: Duration::from_millis(20),
+    },
+    seed: 1,
+};
+
+fn start() -> (Running, SocketAddr) {
+    standin_log::serve_local(Cfg::default()).expect("a free port")
+}
+
+fn claim(epoch: u64) -> Entry {
+    Entry {
+        id: format!("claim-{epoch}").into(),
+        at: epoch,
+        record: Record::Claim {
+            epoch,
+            controller: "d1".into(),
+        },
+    }
+}
+
+async fn raw(address: SocketAddr, req: Request) -> (StatusCode, String) {
+    let mut conn = Conn::connect(address, PATIENCE, Limits::default())
+        .await
+        .expect("a connection");
+    let res = conn.call(req, PATIENCE).await.expect("an answer");
+    let body = String::from_utf8(res.body.to_vec()).expect("text");
+    (res.status, body)
+}
+
+#[test]
+fn requests_get_the_answers_of_the_protocol() {
+    block_on(async {
+        let (log, address) = start();
+        let check = async |req: Request, status: u16, body: &str| {
+            let target = req.target.clone();
+            let (got, text) = raw(address, req).await;
+            assert_eq!((got.as_u16(), text.trim()), (status, body), "{target}");
+        };
+        let records = "/streams/s/records";
+        check(Request::get("/streams/s"), 200, r#"{"oldest":0,"next":0}"#).await;
+        check(Request::post(records, "a\"b"), 200, r#"{"offset":0}"#).await;
+        check(Request::post(records, "c"), 200, r#"{"offset":1}"#).await;
+        check(Request::get("/streams/s"), 200, r#"{"oldest":0,"next":2}"#).await;
+        check(
+            Request::get(format!("{records}?from=0&max=1")),
+            200,
+            r#"{"records":[{"offset":0,"data":"a\"b"}],"next":1,"oldest":0}"#,
+        )
+        .await;
+        check(
+            Request::get(format!("{records}?from=2&max=1&wait_ms=1")),
+            200,
+            r#"{"records":[],"next":2,"oldest":0}"#,
+        )
+        .await;
+        let faults = r#"{"retention_records":1}"#;
+        check(Request::post("/faults", faults), 200, faults).await;
+        check(
+            Request::get(format!("{records}?from=0")),
+            410,
+            r#"{"oldest":1,"next":2}"#,
+        )
+        .await;
+        check(
+            Request::get(format!("{records}?from=x")),
+            404,
+            "no such request",
+        )
+        .await;
+        check(Request::get("/other"), 404, "no such request").await;
+        let (status, _) = raw(address, Request::post("/faults", r#"{"x":1}"#)).await;
+        assert_eq!(status, StatusCode::BAD_REQUEST);
+        let counters = log.counters().streams["s"];
+        assert_eq!((counters.appends, counters.bytes_in), (2, 4));
+        assert_eq!((counters.reads, counters.bytes_out), (2, 3));
+    });
+}
+
+#[test]
+fn appends_survive_the_faults_of_the_log() {
+    let check = |name: &str, faults: Faults, want: Result<(), AppendError>, copies: u64| {
+        block_on(async {
+            let (log, address) = start();
+            let client = LogClient::new(address, RECORD_STREAM, CFG);
+            // A connection is open when the fault begins.
+            client.append(&claim(1)).await.expect("no fault yet");
+            log.set_faults(&faults);
+            let appended = client.append(&claim(2)).await;
+            assert_eq!(appended.map(drop), want, "{name}");
+            let appends = log.counters().streams[RECORD_STREAM].appends;
+            assert_eq!(appends, 1 + copies, "{name}");
+            if want.is_ok() {
+                assert_eq!(folded(address).await.epoch, 2, "{name}");
+            }
+        });
+    };
+    let none = Faults::default();
+    let lost = Faults {
+        lose_answers: Some(2),
+        ..none.clone()
+    };
+    let silent = Faults {
+        silent_requests: Some(2),
+        ..none.clone()
+    };
+    let slow = Faults {
+        latency: Some(Duration::from_millis(20)),
+        ..none.clone()
+    };
+    let throttled = Faults {
+        appends_per_second: Some(0),
+        ..none.clone()
+    };
+    let out = |outage| Faults {
+        outage: Some(outage),
+        ..Faults::default()
+    };
+    let refused = LogError::Down("503 Service Unavailable".to_owned());
+    check("no fault", none, Ok(()), 1);
+    check("answers lost after the effect", lost, Ok(()), 3);
+    check("silent connections", silent, Ok(()), 1);
+    check("slow", slow, Ok(()), 1);
+    check(
+        "refuses",
+        out(Outage::Refuse),
+        Err(AppendError::NotWritten(refused)),
+        0,
+    );
+    check(
+        "hangs",
+        out(Outage::Hang),
+        Err(AppendError::Unknown(LogError::Slow)),
+        0,
+    );
+    block_on(async {
+        let (log, address) = start();
+        log.set_faults(&throttled);
+        let client = LogClient::new(address, RECORD_STREAM, CFG);
+        client
+            .append(&claim(1))
+            .await
+            .expect("the burst lets one pass");
+        let refused = client.append(&claim(2)).await;
+        let is_throttled = matches!(
+            refused,
+            Err(AppendError::NotWritten(LogError::Throttled(_)))
+        );
+        assert!(is_throttled, "{refused:?}");
+    });
+}
+
+#[test]
+fn nobody_at_the_address_means_not_written() {
+    block_on(async {
+        let (log, address) = start();
+        log.close(Duration::ZERO).await;
+        monoio::time::sleep(Duration::from_millis(20)).await;
+        let client = LogClient::new(address, RECORD_STREAM, CFG);
+        let refused = client.append(&claim(1)).await;
+        let is_down = matches!(refused, Err(AppendError::NotWritten(LogError::Down(_))));
+        assert!(is_down, "{refused:?}");
+    });
+}
+
+#[test]
+fn a_read_waits_for_the_next_record() {
+    block_on(async {
+        let (_log, address) = start();
+        let append = async {
+            monoio::time::sleep(Duration::from_millis(30)).await;
+            let writer = LogClient::new(address, RECORD_STREAM, CFG);
+            writer.append(&claim(1)).await.expect("an offset")
+        };
+        let reader = LogClient::new(address, RECORD_STREAM, CFG);
+        let (page, offset) = monoio::join!(reader.read(0, 10, PATIENCE), append);
+        let page = page.expect("a page");
+        assert_eq!((page.next, page.records[0].offset), (1, offset));
+    });
+}
+
+/// Folds the log from a cold start until nothing new comes.
+async fn folded(address: SocketAddr) -> State {
+    let mut follower = Follower::cold(address, CFG);
+    while follower.advance(Duration::ZERO).await != Progress::CaughtUp {}
+    follower.close()
+}
+
+#[test]
+fn a_follower_recovers_from_the_faults_of_the_log() {
+    let check = |name: &str, faults: Faults| {
+        block_on(async {
+            let (log, address) = start();
+            let writer = LogClient::new(address, RECORD_STREAM, CFG);
+            let mut follower = Follower::cold(address, CFG);
+            writer.append(&claim(1)).await.expect("no fault yet");
+            while follower.state().epoch < 1 {
+                follower.advance(PATIENCE).await;
+            }
+            log.set_faults(&faults);
+            let mut failures = 0;
+            for _ in 0..6 {
+                let progress = follower.advance(Duration::ZERO).await;
+                failures += u32::from(matches!(progress, Progress::Failed(_)));
+            }
+            assert!(failures > 0, "{name}: the fault shows");
+            log.set_faults(&Faults {
+                outage: Some(Outage::None),
+                latency: Some(Duration::ZERO),
+                silent_requests: Some(0),
+                ..Faults::default()
+            });
+            writer.append(&claim(2)).await.expect("the fault is over");
+            while follower.state().epoch < 2 {
+                follower.advance(PATIENCE).await;
+            }
+        });
+    };
+    let none = Faults::default();
+    check(
+        "refuses",
+        Faults {
+            outage: Some(Outage::Refuse),
+            ..none.clone()
+        },
+    );
+    check(
+        "hangs",
+        Faults {
+            outage: Some(Outage::Hang),
+            ..none.clone()
+        },
+    );
+    check(
+        "slower than the deadline",
+        Faults {
+            latency: Some(PATIENCE),
+            ..none.clone()
+        },
+    );
+    check(
+        "silent connections",
+        Faults {
+            silent_requests: Some(2),
+            ..none
+        },
+    );
+}
+
+#[test]
+fn expired_records_are_made_up_for_by_a_snapshot_and_the_tail() {
+    block_on(async {
+        let (log, address) = start();
+        let writer = LogClient::new(address, RECORD_STREAM, CFG);
+        let mut behind = Follower::cold(address, CFG);
+        while behind.advance(Duration::ZERO).await != Progress::CaughtUp {}
+        for epoch in 1..=6 {
+            writer.append(&claim(epoch)).await.expect("an offset");
+            if epoch == 4 {
+                let state = folded(address).await;
+                let snapshots = SnapshotStore::new(LogClient::new(address, SNAPSHOT_STREAM, CFG));
+                snapshots.write(&Snapshot { state }).await.expect("written");
+            }
+        }
+        log.set_faults(&Faults {
+            retention_records: Some(2),
+            ..Faults::default()
+        });
+        while behind.state().epoch < 6 {
+            behind.advance(Duration::ZERO).await;
+        }
+        assert_eq!(behind.state().next, 6);
+        assert_eq!(folded(address).await, *behind.state());
+    });
+}
+
+#[test]
+fn the_snapshot_that_reaches_furthest_is_taken() {
+    block_on(async {
+        let (_log, address) = start();
+        let client = || LogClient::new(address, SNAPSHOT_STREAM, CFG);
+        let store = SnapshotStore::new(client());
+        assert_eq!(store.latest().await, Ok(None));
+        for next in [5, 9, 7] {
+            let state = State {
+                next,
+                ..State::default()
+            };
+            store.write(&Snapshot { state }).await.expect("written");
+        }
+        client().append_text("damaged").await.expect("written");
+        let latest = store.latest().await.expect("an answer").expect("one");
+        assert_eq!(latest.state.next, 9);
+    });
+}
+
+#[test]
+fn a_log_that_lost_records_never_takes_a_reader_back() {
+    block_on(async {
+        let (_log, address) = start();
+        let writer = LogClient::new(address, RECORD_STREAM, CFG);
+        writer.append(&claim(1)).await.expect("an offset");
+        let state = State {
+            next: 9,
+            epoch: 3,
+            ..State::default()
+        };
+        let mut follower = Follower::resume(address, CFG, state.clone());
+        let progress = follower.advance(Duration::ZERO).await;
+        assert_eq!(progress, Progress::Failed(LogError::Rewound { next: 1 }));
+        assert_eq!(follower.close(), state);
+    });
+}
--- /dev/null
+++ b/standins/log/src/store.rs
@@ -0,0 +1,160 @@
+//! Streams of records with retention. Pure: time comes in as an argument.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Offset;
+use platform::wire::Bounds;
+use platform::wire::Records;
+use platform::wire::Stored;
+use smol_str::SmolStr;
+
+/// Streams at most.
+const MAX_STREAMS: usize = 64;
+
+/// Bytes of records that one stream keeps at most, whatever its retention.
+const MAX_STREAM_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bytes of records in one page; a larger record comes alone.
+const MAX_PAGE_BYTES: usize = 1024 * 1024;
+
+/// How long records are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retention {
+    /// Records of each stream.
+    pub records: usize,
+    /// Age of a record.
+    pub age: Duration,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Self {
+            records: 100_000,
+            age: Duration::from_hours(24),
+        }
+    }
+}
+
+/// What a read found.
+pub enum Found {
+    /// Records, or none yet.
+    Records(Records),
+    /// The offset has expired.
+    Expired(Bounds),
+}
+
+/// No further stream can be made.
+pub struct TooManyStreams;
+
+/// All streams.
+#[derive(Default)]
+pub struct Store {
+    streams: BTreeMap<SmolStr, Stream>,
+    pub retention: Retention,
+}
+
+#[derive(Default)]
+struct Stream {
+    oldest: Offset,
+    records: VecDeque<Kept>,
+    bytes: usize,
+}
+
+struct Kept {
+    data: String,
+    at: Instant,
+}
+
+impl Store {
+    pub fn new(retention: Retention) -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            retention,
+        }
+    }
+
+    /// Appends a record to a stream, which is made at its first one.
+    pub fn append(
+        &mut self,
+        name: &str,
+        data: String,
+        now: Instant,
+    ) -> Result<Offset, TooManyStreams> {
+        if !self.streams.contains_key(name) && self.streams.len() >= MAX_STREAMS {
+            return Err(TooManyStreams);
+        }
+        let stream = self.streams.entry(name.into()).or_default();
+        let offset = stream.bounds().next;
+        stream.bytes += data.len();
+        stream.records.push_back(Kept { data, at: now });
+        stream.expire(self.retention, now);
+        Ok(offset)
+    }
+
+    pub fn bounds(&mut self, name: &str, now: Instant) -> Bounds {
+        let Some(stream) = self.streams.get_mut(name) else {
+            return Bounds { oldest: 0, next: 0 };
+        };
+        stream.expire(self.retention, now);
+        stream.bounds()
+    }
+
+    pub fn read(&mut self, name: &str, from: Offset, max: usize, now: Instant) -> Found {
+        let bounds = self.bounds(name, now);
+        if from < bounds.oldest {
+            return Found::Expired(bounds);
+        }
+        let records = self.streams.get(name).map(|stream| stream.page(from, max));
+        let records = records.unwrap_or_default();
+        let read = u64::try_from(records.len()).unwrap_or(u64::MAX);
+        Found::Records(Records {
+            records,
+            next: bounds.next.min(from + read),
+            oldest: bounds.oldest,
+        })
+    }
+}
+
+impl Stream {
+    fn bounds(&self) -> Bounds {
+        let len = u64::try_from(self.records.len()).unwrap_or(u64::MAX);
+        Bounds {
+            oldest: self.oldest,
+            next: self.oldest + len,
+        }
+    }
+
+    fn expire(&mut self, retention: Retention, now: Instant) {
+        while let Some(first) = self.records.front() {
+            let age = now.saturating_duration_since(first.at);
+            let is_kept = self.records.len() <= retention.records
+                && self.bytes <= MAX_STREAM_BYTES
+                && age <= retention.age;
+            if is_kept {
+                return;
+            }
+            self.bytes -= first.data.len();
+            self.oldest += 1;
+            self.records.pop_front();
+        }
+    }
+
+    fn page(&self, from: Offset, max: usize) -> Vec<Stored> {
+        let skip = usize::try_from(from - self.oldest).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let fits = |(i, kept): &(usize, &Kept)| {
+            bytes += kept.data.len();
+            *i == 0 || bytes <= MAX_PAGE_BYTES
+        };
+        let records = self.records.iter().skip(skip).take(max);
+        let page = records.enumerate().take_while(fits).zip(from..);
+        page.map(|((_, kept), offset)| Stored {
+            offset,
+            data: kept.data.clone(),
+        })
+        .collect()
+    }
+}
