Add metrics, the history of calls and the report on service-level burn

Operators have to see which change spent the budget of which service, so the report sets burn rates over several windows beside the moves that ended in them: a table, JSON, and one page with inline charts that needs nothing besides itself.

Weighed: keeping the counts as a stream of the log service, which would cost appends all the time for a report that is read now and then. The price is that a restarted daemon begins anew; the report says since when there are counts. Two windows have to agree before it asks for anything: the longer one shows that it matters, the shorter one that it goes on.

Metrics are opentelemetry's, in the usual text form. One list holds names, kinds, units and labels; a test compares it with the text form and with docs/METRICS.md, so the three cannot part.

Not wired into the daemon yet.

--- /dev/null
+++ b/crates/report/src/burn/page.rs
@@ -0,0 +1,280 @@
+//! The report as one self-contained page with inline charts.
+
+use std::fmt::Write as _;
+
+use base::units::format_time;
+
+use crate::burn::BurnReport;
+use crate::burn::FAST_BURN;
+use crate::burn::MoveSeen;
+use crate::burn::SLOW_BURN;
+use crate::burn::ServiceBurn;
+use crate::burn::WindowBurn;
+use crate::burn::table::percent;
+use crate::burn::table::span;
+use crate::history::millis;
+
+/// Size of a chart's plot, in pixels.
+const WIDTH: f64 = 280.0;
+const HEIGHT: f64 = 90.0;
+
+/// Room below the plot for the labels of time, in pixels.
+const AXIS: f64 = 18.0;
+
+/// Room above the plot for the labels of moves, in pixels.
+const TOP: f64 = 14.0;
+
+/// Largest burn rate of the scale where all are small.
+const LEAST_SCALE: f64 = 2.0;
+
+const STYLE: &str = "
+body { font: 15px/1.45 system-ui, sans-serif; color: #1d2733; background: #f4f5f7;
+  margin: 0 auto; max-width: 1240px; padding: 28px }
+h1 { font-size: 24px; margin: 0 0 2px }
+h2 { font-size: 18px; margin: 0 }
+.note { color: #556270; margin: 0 0 18px }
+section { background: #fff; border: 1px solid #dde1e6; border-radius: 8px; padding: 16px 20px;
+  margin: 0 0 16px }
+.head { display: flex; gap: 28px; align-items: baseline; flex-wrap: wrap }
+.head b { font-variant-numeric: tabular-nums }
+.state { border-radius: 4px; padding: 1px 9px; font-weight: 600 }
+.ok { background: #dcefe3; color: #17603a }
+.slow { background: #fdeccd; color: #7a4b00 }
+.fast { background: #fbdcd9; color: #96231a }
+.none { background: #e8ebee; color: #556270 }
+.charts { display: grid; grid-template-columns: repeat(auto-fill, minmax(250px, 1fr));
+  gap: 16px; margin-top: 12px }
+figure { margin: 0 }
+figcaption { font-size: 13px; color: #556270 }
+figcaption b { color: #1d2733; font-variant-numeric: tabular-nums }
+svg { display: block; width: 100%; height: auto }
+svg text { font: 10px system-ui, sans-serif; fill: #556270 }
+table { border-collapse: collapse; margin-top: 10px; font-size: 13px }
+td, th { text-align: left; padding: 2px 22px 2px 0; font-variant-numeric: tabular-nums }
+th { color: #556270; font-weight: 500 }
+";
+
+impl BurnReport {
+    /// The report as an HTML page that needs nothing besides itself.
+    #[must_use]
+    pub fn to_page(&self) -> String {
+        let mut page = String::new();
+        let _ = write!(
+            page,
+            "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\
+             <title>Service-level burn</title><style>{STYLE}</style></head><body>\
+             <h1>Service-level burn</h1><p class=\"note\">Made {}; counts since {}. \
+             A burn rate of 1 spends just the budget of bad calls; the dashed line marks it.</p>",
+            format_time(self.at),
+            format_time(self.since),
+        );
+        for service in &self.services {
+            section(&mut page, service);
+        }
+        page.push_str("</body></html>\n");
+        page
+    }
+}
+
+fn section(page: &mut String, service: &ServiceBurn) {
+    let left = service.budget_left.map_or("no calls".to_owned(), percent);
+    let _ = write!(
+        page,
+        "<section><div class=\"head\"><h2>{}</h2><span class=\"state {}\">{}</span>\
+         <span>objective <b>{}</b></span><span>budget left <b>{left}</b></span></div>\
+         <div class=\"charts\">",
+        escape(&service.service),
+        class(service),
+        service.state.as_str(),
+        percent(service.objective),
+    );
+    for window in &service.windows {
+        figure(page, window, &service.moves);
+    }
+    page.push_str("</div>");
+    moves(page, &service.moves);
+    page.push_str("</section>");
+}
+
+fn class(service: &ServiceBurn) -> &'static str {
+    match service.state {
+        crate::burn::BurnState::NoCalls => "none",
+        crate::burn::BurnState::Ok => "ok",
+        crate::burn::BurnState::Slow => "slow",
+        crate::burn::BurnState::Fast => "fast",
+    }
+}
+
+fn figure(page: &mut String, window: &WindowBurn, moves: &[MoveSeen]) {
+    let rate = window
+        .rate
+        .map_or("-".to_owned(), |rate| format!("{rate:.2}"));
+    let _ = write!(
+        page,
+        "<figure><figcaption>last {}: burn rate <b>{rate}</b>, {} bad of {} calls</figcaption>",
+        span(window.window),
+        window.calls.bad,
+        window.calls.total(),
+    );
+    chart(page, window, moves);
+    page.push_str("</figure>");
+}
+
+/// Places on a chart, from the window's times and rates.
+struct Scale {
+    start: u64,
+    length: f64,
+    most: f64,
+}
+
+impl Scale {
+    fn of(window: &WindowBurn) -> Self {
+        let rates = window.points.iter().filter_map(|point| point.rate);
+        Self {
+            start: window.points.first().map_or(0, |point| point.start),
+            length: as_f64(millis(window.window)),
+            most: rates.fold(LEAST_SCALE, f64::max),
+        }
+    }
+
+    fn x(&self, time: u64) -> f64 {
+        as_f64(time.saturating_sub(self.start)) / self.length * WIDTH
+    }
+
+    fn y(&self, rate: f64) -> f64 {
+        TOP + HEIGHT - rate / self.most * HEIGHT
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(number: u64) -> f64 {
+    number as f64
+}
+
+fn chart(page: &mut String, window: &WindowBurn, moves: &[MoveSeen]) {
+    let scale = Scale::of(window);
+    let _ = write!(
+        page,
+        "<svg viewBox=\"0 0 {} {}\" role=\"img\" aria-label=\"burn rate over the last {}\">",
+        WIDTH + 30.0,
+        TOP + HEIGHT + AXIS,
+        span(window.window),
+    );
+    let bottom = TOP + HEIGHT;
+    line(page, [0.0, bottom, WIDTH, bottom], "stroke=\"#c3c9d0\"");
+    bars(page, window, &scale);
+    let one = scale.y(SLOW_BURN);
+    line(
+        page,
+        [0.0, one, WIDTH, one],
+        "stroke=\"#556270\" stroke-dasharray=\"4 3\"",
+    );
+    text(page, WIDTH + 4.0, one + 3.0, "1");
+    if scale.most > LEAST_SCALE {
+        text(
+            page,
+            WIDTH + 4.0,
+            scale.y(scale.most) + 8.0,
+            &format!("{:.0}", scale.most),
+        );
+    }
+    marks(page, window, moves, &scale);
+    text(
+        page,
+        0.0,
+        bottom + 13.0,
+        &format!("-{}", span(window.window)),
+    );
+    text(page, WIDTH - 20.0, bottom + 13.0, "now");
+    page.push_str("</svg>");
+}
+
+fn bars(page: &mut String, window: &WindowBurn, scale: &Scale) {
+    let step = WIDTH / as_f64(window.points.len().max(1) as u64);
+    for (point, left) in window.points.iter().zip(0u32..) {
+        let Some(rate) = point.rate else { continue };
+        // A slot with calls and none bad still shows, as a thin line.
+        let height = (rate / scale.most * HEIGHT).max(1.0);
+        let _ = write!(
+            page,
+            "<rect x=\"{:.1}\" y=\"{:.1}\" width=\"{:.1}\" height=\"{height:.1}\" fill=\"{}\"/>",
+            f64::from(left) * step,
+            TOP + HEIGHT - height,
+            (step - 1.0).max(0.5),
+            color(rate),
+        );
+    }
+}
+
+fn color(rate: f64) -> &'static str {
+    if rate > FAST_BURN {
+        "#c8372b"
+    } else if rate > SLOW_BURN {
+        "#e0992b"
+    } else {
+        "#6d9fc4"
+    }
+}
+
+fn marks(page: &mut String, window: &WindowBurn, moves: &[MoveSeen], scale: &Scale) {
+    for seen in moves.iter().filter(|seen| seen.at >= scale.start) {
+        let x = scale.x(seen.at).min(WIDTH);
+        let color = match seen.end {
+            "taken-back" => "#96231a",
+            _ => "#17603a",
+        };
+        let style = format!("stroke=\"{color}\" stroke-width=\"1.5\"");
+        line(page, [x, TOP - 2.0, x, TOP + HEIGHT], &style);
+        // Labels to the right of the middle are written to the left of their mark.
+        let label = format!("#{} {}", seen.ticket, seen.end);
+        let at = if x > WIDTH / 2.0 {
+            x - as_f64(label.len() as u64) * 5.0
+        } else {
+            x
+        };
+        if window.moves <= 2 {
+            text(page, at.max(0.0), TOP - 4.0, &label);
+        }
+    }
+}
+
+fn line(page: &mut String, [x1, y1, x2, y2]: [f64; 4], style: &str) {
+    let _ = write!(
+        page,
+        "<line x1=\"{x1:.1}\" y1=\"{y1:.1}\" x2=\"{x2:.1}\" y2=\"{y2:.1}\" {style}/>"
+    );
+}
+
+fn text(page: &mut String, x: f64, y: f64, text: &str) {
+    let _ = write!(
+        page,
+        "<text x=\"{x:.1}\" y=\"{y:.1}\">{}</text>",
+        escape(text)
+    );
+}
+
+fn moves(page: &mut String, moves: &[MoveSeen]) {
+    if moves.is_empty() {
+        return;
+    }
+    page.push_str("<table><tr><th>time</th><th>ticket</th><th>to</th><th>move</th></tr>");
+    for seen in moves {
+        let _ = write!(
+            page,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>",
+            format_time(seen.at),
+            seen.ticket,
+            escape(&seen.to),
+            seen.end,
+        );
+    }
+    page.push_str("</table>");
+}
+
+/// Names come from tickets, so they must not become markup.
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
+}
--- /dev/null
+++ b/crates/report/src/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of metrics, history and report.
+
+mod burn;
+mod history;
+mod metrics;
--- /dev/null
+++ b/crates/report/src/tests/history.rs
@@ -0,0 +1,66 @@
+//! Tests of the history and its merge.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+
+use crate::history::CallResult;
+use crate::history::Counts;
+use crate::history::History;
+use crate::history::HistoryView;
+use crate::history::SLOTS;
+
+const WINDOW: Duration = Duration::from_secs(30);
+
+fn history(calls: &[(u32, bool)]) -> HistoryView {
+    let mut history = History::with_windows(0, &[WINDOW]);
+    for (at, good) in calls {
+        let result = if *good {
+            CallResult::Good
+        } else {
+            CallResult::Bad
+        };
+        history.add(&"bookings".into(), result, u64::from(*at % 30_000));
+    }
+    history.view().clone()
+}
+
+fn total(view: &HistoryView) -> Counts {
+    let slots = view.rings[0]
+        .services
+        .values()
+        .flat_map(|slots| slots.values());
+    slots.copied().fold(Counts::default(), Counts::plus)
+}
+
+#[test]
+fn memory_is_bounded_by_the_slots() {
+    let mut history = History::with_windows(0, &[WINDOW]);
+    for now in 0..100_000 {
+        history.add(&"bookings".into(), CallResult::Good, now);
+    }
+    let slots = &history.view().rings[0].services["bookings"];
+    assert_eq!(slots.len() as u64, SLOTS + 1);
+    assert_eq!(
+        slots.values().map(|counts| counts.good).sum::<u64>(),
+        31_000
+    );
+}
+
+quickcheck! {
+    fn a_merge_counts_each_call_once(left: Vec<(u32, bool)>, right: Vec<(u32, bool)>) -> bool {
+        let (left, right) = (history(&left), history(&right));
+        total(&left.clone().merge(&right)) == total(&left).plus(total(&right))
+    }
+
+    fn a_merge_does_not_depend_on_the_order(left: Vec<(u32, bool)>, right: Vec<(u32, bool)>) -> bool {
+        let (left, right) = (history(&left), history(&right));
+        left.clone().merge(&right) == right.merge(&left)
+    }
+}
+
+#[test]
+fn an_empty_view_takes_over_the_other() {
+    let view = history(&[(5, true)]);
+    assert_eq!(HistoryView::default().merge(&view), view);
+}
