Check, publish and follow tickets from the command line

Reason: operators drive the system by tickets alone, so publishing must end with the verdict and never leave them guessing.

Weighed: who judges a ticket before it is published. The command folds the log itself and uses the fold's own check, so there is no second set of rules and no daemon is needed. How a lost answer is met: the record's id holds a hash of the ticket's content; the append is repeated under the same id, and a second run of the command finds the verdict of the first. A wholly deterministic id was ruled out: a ticket that was rejected and is right after another one came into force would be passed over as a copy.

Change: `bronzehead ticket check`, `publish`, `watch` and `moves`, with `--output json`, help with examples, and exit codes 0, 1 and 2. One module for each subcommand; `main` only dispatches.

Seen failing with a mechanism off, then passing with it on: - published without a check: `bad_input_gets_exit_code_2_and_nothing_is_published`, "left: Some(1), right: Some(2)" - no search for the first run's verdict: `a_lost_answer_neither_hides_the_verdict_nor_publishes_twice`, "left: Some(1), right: Some(0)" - a rejection taken for an acceptance: `of_two_racing_operators_one_is_told_that_it_lost`, "left: [Some(0), Some(0)], right: [Some(0), Some(1)]" - the watch ends too early: `watch_prints_each_end_with_time_and_reason`, "left: Some(0), right: Some(1)" - not seen failing: that `--wait` cuts a request under way short. Without it the request's own deadline ends the command up to 2 s later, which no test tells apart without a bound on wall-clock time.

Conclusion: 6 tests of the command as a process and the check of its definition pass.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,2 +1,46 @@
-//! Placeholder.
-fn main() {}
+//! `bronzehead`, the operators' command line.
+//!
+//! Each subcommand has a module of its own, which gives its arguments and runs it.
+
+mod args;
+mod exit;
+mod output;
+mod ticket;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::exit::CliError;
+use crate::exit::Exit;
+
+fn main() -> ExitCode {
+    match run(&command().get_matches()) {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("error: {error}");
+            error.exit().into()
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("bronzehead")
+        .about("Publishes change tickets and shows what became of them")
+        .after_help(exit::HELP)
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(ticket::command())
+}
+
+fn run(matches: &ArgMatches) -> Result<Exit, CliError> {
+    match matches.subcommand() {
+        Some(("ticket", matches)) => ticket::run(matches),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,38 @@
+//! Results on standard output, as text or as JSON.
+
+use std::fmt;
+use std::io::Write;
+
+use serde::Serialize;
+
+use crate::exit::CliError;
+
+/// Form of the results.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Format {
+    /// Prints one result.
+    ///
+    /// # Errors
+    /// When standard output takes no more.
+    pub fn print(self, result: &(impl fmt::Display + Serialize)) -> Result<(), CliError> {
+        let line = match self {
+            Self::Text => result.to_string(),
+            Self::Json => to_json(result)?,
+        };
+        let mut out = std::io::stdout().lock();
+        writeln!(out, "{line}")
+            .and_then(|()| out.flush())
+            .map_err(|e| CliError::Failed(format!("cannot write the result: {e}")))
+    }
+}
+
+fn to_json(result: &impl Serialize) -> Result<String, CliError> {
+    serde_json::to_string(result).map_err(|e| CliError::Failed(e.to_string()))
+}
