--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::Offset;
 use ledger::Applied;
 use ledger::Snapshot;
 use ledger::StampedRecord;
@@ -54,6 +55,7 @@
     snapshots: SnapshotStore,
     reader: LogReader,
     state: State,
+    oldest: Offset,
 }
 
 impl Follower {
@@ -82,9 +84,16 @@
             snapshots: SnapshotStore::new(LogClient::new(address, SNAPSHOT_STREAM, cfg)),
             reader: reader(Backoff::new(cfg.backoff, cfg.seed)),
             state,
+            oldest: 0,
         }
     }
 
+    /// Offset of the oldest record that the log held at the last read.
+    #[must_use]
+    pub fn oldest(&self) -> Offset {
+        self.oldest
+    }
+
     /// The state so far.
     #[must_use]
     pub fn state(&self) -> &State {
@@ -143,6 +152,7 @@
 
     fn fold(&mut self, page: Page) -> Progress {
         self.reader.on_records(page.next);
+        self.oldest = page.oldest;
         if page.records.is_empty() {
             return Progress::CaughtUp;
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod follower;
 mod reader;
+mod schedule;
 mod snapshots;
 pub mod wire;
 
@@ -23,6 +24,8 @@
 pub use follower::Progress;
 pub use reader::LogReader;
 pub use reader::ReadStep;
+pub use schedule::ScheduleCfg;
+pub use schedule::SnapshotSchedule;
 pub use snapshots::SnapshotStore;
 
 /// Stream of tickets and of the controller's records.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the pure parts: backoff and the reader's decisions.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use quickcheck::quickcheck;
 
@@ -9,6 +10,8 @@
 use crate::LogError;
 use crate::LogReader;
 use crate::ReadStep;
+use crate::ScheduleCfg;
+use crate::SnapshotSchedule;
 
 const CFG: BackoffCfg = BackoffCfg {
     first: Duration::from_millis(100),
@@ -126,6 +129,34 @@
     );
 }
 
+#[test]
+fn snapshots_stay_well_inside_the_retention_of_the_log() {
+    let cfg = ScheduleCfg {
+        every_records: 100,
+        every: Duration::from_mins(10),
+    };
+    let start = Instant::now();
+    // A snapshot at 1000; the state's next offset, the oldest record, minutes since.
+    let check = |next: u64, oldest: u64, minutes: u64, want: bool| {
+        let mut schedule = SnapshotSchedule::new(cfg);
+        schedule.on_snapshot(1000, start);
+        schedule.on_snapshot(900, start);
+        let now = start + Duration::from_mins(minutes);
+        let is_due = schedule.is_due(next, oldest, now);
+        assert_eq!(is_due, want, "{next} {oldest} {minutes}");
+    };
+    check(1000, 0, 9, false);
+    check(1000, 0, 10, true);
+    check(1099, 0, 1, false);
+    check(1100, 0, 1, true);
+    check(1020, 980, 1, false);
+    check(1021, 981, 1, true);
+    check(1050, 1040, 1, true);
+    let unknown = SnapshotSchedule::new(cfg);
+    assert!(!unknown.is_due(0, 0, start));
+    assert!(unknown.is_due(1, 0, start));
+}
+
 quickcheck! {
     fn a_reader_never_goes_back(events: Vec<(u8, u64)>) -> bool {
         let mut reader = LogReader::cold(Backoff::new(CFG, 1));
