Tell a ticket that was never seen from one that has not ended

Cause: `ticket watch` said "has not ended in time" of a ticket that nobody had published, which sends an operator to look at moves.

Change: it says "was not published in time". The process test asks for these words, which did not exist before.

--- a/cli/src/ticket/watch.rs
+++ b/cli/src/ticket/watch.rs
@@ -90,19 +90,18 @@
     fold.catch_up().await?;
     loop {
         print_ends(fold.state(), number, format, &mut printed)?;
-        match stage(fold.state(), number) {
-            Stage::Ahead | Stage::Moving => {}
+        let late = match stage(fold.state(), number) {
+            Stage::Ahead => "was not published",
+            Stage::Moving => "has not ended",
             Stage::Rejected(reason) => return rejected(number, reason, format),
             Stage::Over => return over(number, &printed, format),
             Stage::Unknown => {
                 let message = format!("ticket {number} was not accepted, or too long ago");
                 return Err(CliError::Failed(message));
             }
-        }
+        };
         if fold.next().await == Step::TimeUp {
-            return Err(CliError::Failed(format!(
-                "ticket {number} has not ended in time"
-            )));
+            return Err(CliError::Failed(format!("ticket {number} {late} in time")));
         }
     }
 }
--- a/cli/tests/ticket.rs
+++ b/cli/tests/ticket.rs
@@ -258,6 +258,8 @@
     log.publish(SECOND).assert(0, &[]);
     log.ticket(&["watch", "1"])
         .assert(0, &["ticket 1 is in force and moves nothing"]);
+    log.ticket(&["watch", "9", "--wait", "2s"])
+        .assert(1, &["ticket 9 was not published in time"]);
     log.append(vec![
         Record::Claim {
             epoch: 1,
