--- a/crates/ledger/src/tests/yaml.rs
+++ b/crates/ledger/src/tests/yaml.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::Class;
+use crate::MovePolicy;
 use crate::Repeat;
 use crate::parse_yaml;
 
@@ -117,3 +118,12 @@
     );
     check("ticket: 42", "ticket: [", &["line"]);
 }
+
+#[test]
+fn the_ticket_in_the_docs_is_read() {
+    let page = include_str!("../../../../docs/TICKETS.md");
+    let (_, rest) = page.split_once("```yaml\n").expect("an example");
+    let (text, _) = rest.split_once("```").expect("its end");
+    let ticket = parse_yaml(text).expect("a ticket");
+    assert_eq!(ticket.services["bookings"].policy, MovePolicy::default());
+}
