Add settings check, status and report burn to the command line

`settings check` says what a daemon would say at its start, without starting one. `status` asks daemons one by one and goes on after one that is gone, since that is when operators ask. `report burn` adds up the histories of all daemons and takes the moves from the one that has folded most.

All have examples in their help, JSON for scripts, and the exit codes 0, 1 and 2.

Daemons do not serve /history yet.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,8 +3,12 @@
 //! Each subcommand has a module of its own, which gives its arguments and runs it.
 
 mod args;
+mod daemons;
 mod exit;
 mod output;
+mod report;
+mod settings;
+mod status;
 mod ticket;
 
 use std::process::ExitCode;
@@ -33,11 +37,17 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(ticket::command())
+        .subcommand(settings::command())
+        .subcommand(status::command())
+        .subcommand(report::command())
 }
 
 fn run(matches: &ArgMatches) -> Result<Exit, CliError> {
     match matches.subcommand() {
         Some(("ticket", matches)) => ticket::run(matches),
+        Some(("settings", matches)) => settings::run(matches),
+        Some(("status", matches)) => status::run(matches),
+        Some(("report", matches)) => report::run(matches),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
