Serve calls from end to end: the daemon's thin whole path

Each part is a task that owns its sockets and state and publishes what others need on a board of watched values. This first form is thin on purpose: members exchange whole lists over TCP, every daemon reads the log, the controller moves in fixed steps.

The record streams of the platform client now carry the names that the settings have as defaults; before, the fold read a stream that nobody wrote.

--- /dev/null
+++ b/crates/daemon/src/board.rs
@@ -0,0 +1,136 @@
+//! What the parts of a daemon publish to each other.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use base::DaemonId;
+use base::Incarnation;
+use base::ZoneName;
+use base::units::unix_millis;
+use ledger::State;
+use protocol::announce::Announcement;
+use protocol::feed::Lease;
+use protocol::feed::TakeBackFact;
+use routing::Endpoint;
+use routing::Table;
+use settings::Settings;
+
+use crate::watch::Watch;
+
+/// Values that one part writes and others read.
+#[derive(Clone)]
+pub struct Board {
+    /// Who this daemon is.
+    pub me: Rc<Me>,
+    /// Folded state; written by the feed.
+    pub state: Watch<State>,
+    /// Newest lease heard, and when; merged by the feed and by the controller.
+    pub lease: Watch<HeardLease>,
+    /// Take-backs, with or without a record; grows only.
+    pub facts: Watch<BTreeSet<TakeBackFact>>,
+    /// Instances that take calls; written by the members part.
+    pub endpoints: Watch<Vec<Endpoint>>,
+    /// Live members, this one included; written by the members part.
+    pub peers: Watch<Vec<Peer>>,
+    /// The upstream beside this daemon; written by the local part.
+    pub upstream: Watch<Option<Announcement>>,
+    /// Table for calls; written by the table part.
+    pub table: Watch<Table>,
+    /// Whether this daemon is leaving.
+    pub leaving: Watch<Leaving>,
+}
+
+/// Who this daemon is.
+#[derive(Debug, Clone)]
+pub struct Me {
+    /// Its settings.
+    pub settings: Settings,
+    /// Number of this start; higher than that of the start before.
+    pub incarnation: Incarnation,
+}
+
+/// A live member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Where it takes the inner protocol.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// A lease and when this daemon first heard it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardLease {
+    /// The lease.
+    pub lease: Lease,
+    /// When it was first heard here; `None` before the first.
+    pub at: Option<Instant>,
+}
+
+/// Whether the daemon is on its way out.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Leaving {
+    /// It is not.
+    #[default]
+    No,
+    /// It takes no new work for its upstream.
+    Draining,
+}
+
+impl Board {
+    /// The board of a daemon that starts now.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        // The wall clock grows between starts; a clock set back gives a lower number, which
+        // peers refuse until the old one has been declared dead.
+        let incarnation = unix_millis(SystemTime::now());
+        Self {
+            me: Rc::new(Me {
+                settings,
+                incarnation,
+            }),
+            state: Watch::default(),
+            lease: Watch::new(HeardLease {
+                lease: Lease::default(),
+                at: None,
+            }),
+            facts: Watch::default(),
+            endpoints: Watch::default(),
+            peers: Watch::default(),
+            upstream: Watch::default(),
+            table: Watch::default(),
+            leaving: Watch::default(),
+        }
+    }
+
+    /// Takes in a lease; an older one changes nothing.
+    pub fn merge_lease(&self, lease: Lease) {
+        if lease > self.lease.get().lease {
+            self.lease.set(HeardLease {
+                lease,
+                at: Some(Instant::now()),
+            });
+        }
+    }
+
+    /// Takes in take-backs; known ones change nothing.
+    pub fn merge_facts(&self, facts: impl IntoIterator<Item = TakeBackFact>) {
+        let known = self.facts.get();
+        let mut new = facts
+            .into_iter()
+            .filter(|fact| !known.contains(fact))
+            .peekable();
+        if new.peek().is_some() {
+            let mut all = BTreeSet::clone(&known);
+            all.extend(new);
+            self.facts.set(all);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/local.rs
@@ -0,0 +1,115 @@
+//! The local address: announcements of the upstream beside this daemon, status and metrics.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use http::StatusCode;
+use http_edge::Handler;
+use http_edge::Request;
+use http_edge::Response;
+use protocol::announce::ANNOUNCE_PATH;
+use protocol::announce::Announcement;
+use protocol::status::METRICS_PATH;
+use protocol::status::MemberStatus;
+use protocol::status::STATUS_PATH;
+use protocol::status::Status;
+
+use crate::board::Board;
+
+/// An upstream that has not announced itself for this long is taken as gone.
+const ANNOUNCEMENT_LIFE: Duration = Duration::from_secs(3);
+
+/// How often announcements are checked for their age.
+const AGE_CHECK: Duration = Duration::from_millis(250);
+
+/// Answers on the local address.
+pub(crate) struct Local {
+    board: Board,
+    announced: Rc<Cell<Instant>>,
+}
+
+impl Local {
+    pub(crate) fn new(board: Board) -> Self {
+        let announced = Rc::new(Cell::new(Instant::now()));
+        monoio::spawn(expire(board.clone(), Rc::clone(&announced)));
+        Self { board, announced }
+    }
+
+    fn announce(&self, req: &Request) -> Response {
+        match serde_json::from_slice::<Announcement>(&req.body) {
+            Ok(announcement) => {
+                self.announced.set(Instant::now());
+                self.board.upstream.set_if_changed(Some(announcement));
+                Response::new(StatusCode::NO_CONTENT, "")
+            }
+            Err(e) => {
+                log::warn!("local: refused an announcement: {e}");
+                Response::text(StatusCode::BAD_REQUEST, e.to_string())
+            }
+        }
+    }
+
+    fn status(&self) -> Response {
+        let board = &self.board;
+        let state = board.state.get();
+        let status = Status {
+            daemon: board.me.settings.daemon.clone(),
+            incarnation: board.me.incarnation,
+            zone: board.me.settings.zone.clone(),
+            next: state.next,
+            ticket: state.ticket,
+            epoch: state.epoch,
+            controller: state.controller.clone(),
+            members: self.members(),
+            state: (*state).clone(),
+        };
+        match serde_json::to_vec(&status) {
+            Ok(text) => Response::json(StatusCode::OK, text),
+            Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        }
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let endpoints = self.board.endpoints.get();
+        let upstream = |daemon: &str| {
+            let endpoint = endpoints
+                .iter()
+                .find(|endpoint| endpoint.daemon == daemon)?;
+            Some(format!("{} {}", endpoint.service, endpoint.version))
+        };
+        let peers = self.board.peers.get();
+        peers
+            .iter()
+            .map(|peer| MemberStatus {
+                daemon: peer.daemon.clone(),
+                zone: peer.zone.clone(),
+                state: "alive".to_owned(),
+                upstream: upstream(&peer.daemon),
+            })
+            .collect()
+    }
+}
+
+impl Handler for Local {
+    async fn handle(&self, req: Request) -> Response {
+        match (&req.method, req.path()) {
+            (&Method::POST, ANNOUNCE_PATH) => self.announce(&req),
+            (&Method::GET, STATUS_PATH) => self.status(),
+            (&Method::GET, METRICS_PATH) => Response::text(StatusCode::OK, ""),
+            _ => Response::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+async fn expire(board: Board, announced: Rc<Cell<Instant>>) {
+    loop {
+        monoio::time::sleep(AGE_CHECK).await;
+        if announced.get().elapsed() > ANNOUNCEMENT_LIFE && board.upstream.get().is_some() {
+            log::warn!("local: the upstream no longer announces itself");
+            board.upstream.set(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,147 @@
+//! Start and planned stop of a daemon.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_edge::Handler;
+use http_edge::Latch;
+use http_edge::Limits;
+use http_edge::Server;
+use http_edge::ServerCfg;
+use settings::Settings;
+
+use crate::board::Board;
+use crate::board::Leaving;
+use crate::calls::CallerSide;
+use crate::calls::UpstreamSide;
+use crate::control::Control;
+use crate::feed::Feed;
+use crate::local::Local;
+use crate::members::Members;
+use crate::peers::Peers;
+use crate::table;
+
+/// Time for the word to spread that this daemon is leaving, before it closes its addresses.
+const SPREAD_TIME: Duration = Duration::from_secs(2);
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address of the settings cannot be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { address, source } => write!(f, "cannot listen on {address}: {source}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running daemon.
+pub struct Daemon {
+    board: Board,
+    members: Rc<Members>,
+    upstream_side: Rc<UpstreamSide>,
+    calls: Server,
+    peers: Server,
+    local: Server,
+}
+
+impl Daemon {
+    /// Starts all parts on the runtime of the calling task.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on.
+    pub fn start(settings: Settings) -> Result<Self, StartError> {
+        let cfg = server_cfg(&settings);
+        let listen = settings.listen.clone();
+        let board = Board::new(settings);
+
+        let members = Members::start(&board).map_err(|source| at(listen.peers, source))?;
+        let feed = Feed::start(&board);
+        let upstream_side = Rc::new(UpstreamSide::new(&board));
+        let control = Control::start(&board, &upstream_side);
+        let caller_side = Rc::new(CallerSide::new(&board));
+        monoio::spawn(table::run(board.clone()));
+
+        let inner = Peers {
+            calls: Rc::clone(&upstream_side),
+            feed,
+            members: Rc::clone(&members),
+            control,
+        };
+        Ok(Self {
+            peers: open(listen.peers, inner.into(), cfg)?,
+            local: open(listen.local, Local::new(board.clone()).into(), cfg)?,
+            calls: open(listen.calls, caller_side, cfg)?,
+            board,
+            members,
+            upstream_side,
+        })
+    }
+
+    /// The board, for those who embed a daemon and want to watch it.
+    #[must_use]
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Runs until `stop` is set, then closes in order.
+    pub async fn run(self, stop: Latch) {
+        stop.wait().await;
+        self.close().await;
+    }
+
+    /// Graceful shutdown: takes no new work, lets what runs end, and leaves.
+    pub async fn close(self) {
+        let drain = self.board.me.settings.timing.drain;
+        log::info!("daemon: stopping");
+        self.board.leaving.set(Leaving::Draining);
+        self.members.leave().await;
+        self.calls.drain();
+        monoio::time::sleep(SPREAD_TIME.min(drain)).await;
+        self.calls.close(drain).await;
+        self.upstream_side.idle(drain).await;
+        self.peers.close(drain).await;
+        self.local.close(Duration::ZERO).await;
+        log::info!("daemon: stopped");
+    }
+}
+
+fn server_cfg(settings: &Settings) -> ServerCfg {
+    let bytes = |size: u64| usize::try_from(size).unwrap_or(usize::MAX);
+    let limits = Limits {
+        head: bytes(settings.limits.max_head),
+        body: bytes(settings.limits.max_body),
+    };
+    ServerCfg {
+        limits,
+        idle: settings.timing.idle,
+        ..ServerCfg::default()
+    }
+}
+
+fn open<H: Handler>(
+    address: SocketAddr,
+    handler: Rc<H>,
+    cfg: ServerCfg,
+) -> Result<Server, StartError> {
+    let listener = http_edge::listen(address).map_err(|source| at(address, source))?;
+    Ok(Server::start(listener, handler, cfg))
+}
+
+fn at(address: SocketAddr, source: io::Error) -> StartError {
+    StartError::Listen { address, source }
+}
--- /dev/null
+++ b/crates/daemon/src/tests.rs
@@ -0,0 +1,16 @@
+//! Tests of the daemon's parts.
+
+use crate::watch::Watch;
+
+#[test]
+fn a_watch_tells_of_newer_values_only() {
+    http_edge::block_on(async {
+        let watch = Watch::new(1);
+        let seen = watch.revision();
+        watch.set_if_changed(1);
+        assert_eq!(watch.revision(), seen);
+        watch.set_if_changed(2);
+        assert_eq!(watch.newer_than(seen).await, seen + 1);
+        assert_eq!(*watch.get(), 2);
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/watch.rs
@@ -0,0 +1,97 @@
+//! A value with one writer that other tasks read and wait for.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::Poll;
+use std::task::Waker;
+
+/// Number of a value; rises with each [`Watch::set`].
+pub type Revision = u64;
+
+/// The latest of a series of immutable values. Clones share it.
+#[derive(Debug)]
+pub struct Watch<T> {
+    inner: Rc<Inner<T>>,
+}
+
+#[derive(Debug)]
+struct Inner<T> {
+    value: RefCell<Rc<T>>,
+    revision: Cell<Revision>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl<T> Clone for Watch<T> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
+
+impl<T: Default> Default for Watch<T> {
+    fn default() -> Self {
+        Self::new(T::default())
+    }
+}
+
+impl<T> Watch<T> {
+    /// A series that begins with `value`.
+    #[must_use]
+    pub fn new(value: T) -> Self {
+        let inner = Inner {
+            value: RefCell::new(Rc::new(value)),
+            revision: Cell::new(0),
+            wakers: RefCell::default(),
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// The latest value.
+    #[must_use]
+    pub fn get(&self) -> Rc<T> {
+        Rc::clone(&self.inner.value.borrow())
+    }
+
+    /// Number of the latest value.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.inner.revision.get()
+    }
+
+    /// Publishes a new value.
+    pub fn set(&self, value: T) {
+        *self.inner.value.borrow_mut() = Rc::new(value);
+        self.inner.revision.set(self.inner.revision.get() + 1);
+        let wakers = self.inner.wakers.take();
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Returns once there is a newer value than `seen`, with its number.
+    pub async fn newer_than(&self, seen: Revision) -> Revision {
+        poll_fn(|cx| {
+            if self.revision() > seen {
+                return Poll::Ready(self.revision());
+            }
+            let mut wakers = self.inner.wakers.borrow_mut();
+            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
+                wakers.push(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl<T: PartialEq> Watch<T> {
+    /// Publishes a new value if it differs from the latest.
+    pub fn set_if_changed(&self, value: T) {
+        if *self.get() != value {
+            self.set(value);
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -29,10 +29,10 @@
 pub use snapshots::SnapshotStore;
 
 /// Stream of tickets and of the controller's records.
-pub const RECORD_STREAM: &str = "records";
+pub const RECORD_STREAM: &str = "bronzehead";
 
 /// Stream of snapshots.
-pub const SNAPSHOT_STREAM: &str = "snapshots";
+pub const SNAPSHOT_STREAM: &str = "bronzehead-snapshots";
 
 #[cfg(test)]
 mod tests;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,6 +19,8 @@
     pub const FEED: &str = "/inner/feed";
     /// Evidence from an upstream-side daemon to the controller.
     pub const EVIDENCE: &str = "/inner/evidence";
+    /// Exchange of member lists.
+    pub const MEMBERS: &str = "/inner/members";
     /// Whole state from a peer, for a daemon that starts.
     pub const SNAPSHOT: &str = "/inner/snapshot";
 }
--- a/crates/routing/src/tests/table.rs
+++ b/crates/routing/src/tests/table.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use base::Share;
+use ledger::Asked;
 use ledger::Class;
 use ledger::Move;
 use ledger::MovePolicy;
@@ -32,9 +33,11 @@
         stable: "v1".into(),
         previous: None,
         ticket: 7,
+        stable_asked: Asked::default(),
         policy: MovePolicy::default(),
         moving: Some(Move {
             ticket: 7,
+            first_ticket: 7,
             to: "v2".into(),
             finish_by: None,
             share,
