--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,32 @@
+//! What the contract tests share.
+
+use std::time::Duration;
+
+use ledger::Entry;
+use ledger::Record;
+use platform::BackoffCfg;
+use platform::LogCfg;
+
+/// Settings with short pauses.
+pub const CFG: LogCfg = LogCfg {
+    connect: Duration::from_secs(20),
+    timeout: Duration::from_secs(1),
+    append_within: Duration::from_secs(4),
+    backoff: BackoffCfg {
+        first: Duration::from_millis(5),
+        cap: Duration::from_millis(20),
+    },
+    seed: 1,
+};
+
+/// A claim of an epoch.
+pub fn claim(epoch: u64) -> Entry {
+    Entry {
+        id: format!("claim-{epoch}").into(),
+        at: epoch,
+        record: Record::Claim {
+            epoch,
+            controller: "d1".into(),
+        },
+    }
+}
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -1,5 +1,7 @@
 //! The log's protocol, held against the stand-in under its faults.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,14 +10,10 @@
 use http_edge::Limits;
 use http_edge::Request;
 use http_edge::block_on;
-use ledger::Entry;
-use ledger::Record;
 use ledger::Snapshot;
 use ledger::State;
 use platform::AppendError;
-use platform::BackoffCfg;
 use platform::Follower;
-use platform::LogCfg;
 use platform::LogClient;
 use platform::LogError;
 use platform::Progress;
@@ -27,35 +25,16 @@
 use standin_log::Outage;
 use standin_log::Running;
 
+use crate::common::CFG;
+use crate::common::claim;
+
 /// Longer than any test; only a fault waits for it.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-const CFG: LogCfg = LogCfg {
-    connect: PATIENCE,
-    timeout: Duration::from_secs(1),
-    append_within: Duration::from_secs(4),
-    backoff: BackoffCfg {
-        first: Duration::from_millis(5),
-        cap: Duration::from_millis(20),
-    },
-    seed: 1,
-};
-
 fn start() -> (Running, SocketAddr) {
     standin_log::serve_local(Cfg::default()).expect("a free port")
 }
 
-fn claim(epoch: u64) -> Entry {
-    Entry {
-        id: format!("claim-{epoch}").into(),
-        at: epoch,
-        record: Record::Claim {
-            epoch,
-            controller: "d1".into(),
-        },
-    }
-}
-
 async fn raw(address: SocketAddr, req: Request) -> (StatusCode, String) {
     let mut conn = Conn::connect(address, PATIENCE, Limits::default())
         .await
