Add cargo xtask bench

The targets of the system are figures, so they need a command that gives figures: a table of measure, value, unit, bound and within, JSON lines for other tools, ratios to an earlier run, exit code 1 where a bound is passed.

Measures are a list of functions that give rows, so each concern can add its own. First ones: the time that two daemons add to a call, paired call by call with direct ones so that the machine's own noise falls on both; calls a second through two daemons and the processor time of each; convergence, appends and reads of a ticket and the cost of a daemon without calls at 8, 16 and 32 daemons.

Programs are built with optimisation; the fleet's parts that demo and bench share moved out of the demo. Control bytes need the daemon's counter and are reported as not measured without it.

--- /dev/null
+++ b/xtask/src/bench.rs
@@ -0,0 +1,140 @@
+//! `cargo xtask bench`: measures the system on this machine and holds it against its bounds.
+//!
+//! To add a measure, write a module with a function that gives rows and list it in [`MEASURES`].
+
+pub mod control;
+pub mod latency;
+pub mod proc;
+pub mod row;
+pub mod throughput;
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::bench::row::Row;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::process::Interrupt;
+use crate::steps::Build;
+use crate::table;
+
+/// One measure.
+pub struct Measure {
+    /// Name, for `--only`.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Measures.
+    pub run: fn(&Interrupt) -> Result<Vec<Row>>,
+}
+
+/// All measures, in the order in which they run.
+pub const MEASURES: &[Measure] = &[
+    Measure {
+        name: "latency",
+        about: "time that the system adds to a call, paired with direct calls",
+        run: latency::run,
+    },
+    Measure {
+        name: "throughput",
+        about: "calls a second through two daemons, and their processor time",
+        run: throughput::run,
+    },
+    Measure {
+        name: "control",
+        about: "tickets and the control plane at 8, 16 and 32 daemons",
+        run: control::run,
+    },
+];
+
+const EXIT_CODES: &str =
+    "Exit codes: 0 all within bounds, 1 a bound was passed or a measure failed.";
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    let names = MEASURES.iter().map(|measure| measure.name);
+    let list = MEASURES
+        .iter()
+        .map(|m| format!("  {:12}{}\n", m.name, m.about));
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .help(help)
+            .value_parser(value_parser!(PathBuf))
+    };
+    Command::new("bench")
+        .about("Measures the system on this machine and holds it against its bounds")
+        .arg(path("json", "Where the rows are written as JSON lines"))
+        .arg(path(
+            "baseline",
+            "JSON lines of an earlier run, to compare with as ratios",
+        ))
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("MEASURE")
+                .help("Runs just this measure; may be given more than once")
+                .action(ArgAction::Append)
+                .value_parser(clap::builder::PossibleValuesParser::new(names)),
+        )
+        .after_help(format!(
+            "Measures:\n{}\n{EXIT_CODES}",
+            list.collect::<String>()
+        ))
+}
+
+/// Runs the measures.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    match run_all(matches) {
+        Ok(rows) if rows.iter().any(Row::is_passed) => ExitCode::FAILURE,
+        Ok(_) => ExitCode::SUCCESS,
+        Err(e) => {
+            println!("bench: failed: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_all(matches: &ArgMatches) -> Result<Vec<Row>> {
+    let file = |name: &str| matches.get_one::<PathBuf>(name);
+    let baseline = match file("baseline") {
+        Some(path) => row::parse(&read(path)?)?,
+        None => Vec::new(),
+    };
+    let only: Vec<&String> = matches.get_many("only").into_iter().flatten().collect();
+    let interrupt = Interrupt::register()?;
+    Build::Release.run(&interrupt)?;
+    let mut rows = Vec::new();
+    for measure in MEASURES {
+        if !only.is_empty() && !only.iter().any(|name| *name == measure.name) {
+            continue;
+        }
+        println!("{}: {}", measure.name, measure.about);
+        rows.extend((measure.run)(&interrupt)?);
+    }
+    print(&rows, &baseline);
+    if let Some(path) = file("json") {
+        let text = row::to_lines(&rows)?;
+        fs::write(path, text).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
+    }
+    Ok(rows)
+}
+
+fn read(path: &Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|e| TaskError::Io(path.display().to_string(), e))
+}
+
+fn print(rows: &[Row], baseline: &[Row]) {
+    let cells: Vec<[String; 6]> = rows.iter().map(|row| row.cells(baseline)).collect();
+    let head = ["measure", "value", "unit", "bound", "within", "to baseline"];
+    println!("{}", table::format(head, &cells));
+}
--- /dev/null
+++ b/xtask/src/bench/row.rs
@@ -0,0 +1,141 @@
+//! Rows of the measurements: value, unit, bound.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Result;
+use crate::error::TaskError;
+
+/// Shown where there is nothing to show.
+const NOTHING: &str = "-";
+
+/// One measured value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// What was measured.
+    pub measure: String,
+    /// Its value.
+    pub value: f64,
+    /// Unit of the value.
+    pub unit: String,
+    /// What the value has to keep to.
+    pub bound: Option<Bound>,
+}
+
+/// What a value has to keep to.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bound {
+    /// The largest value that is allowed.
+    AtMost(f64),
+    /// The smallest value that is allowed.
+    AtLeast(f64),
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::AtMost(bound) => write!(f, "<= {bound}"),
+            Self::AtLeast(bound) => write!(f, ">= {bound}"),
+        }
+    }
+}
+
+impl Bound {
+    fn holds(self, value: f64) -> bool {
+        match self {
+            Self::AtMost(bound) => value <= bound,
+            Self::AtLeast(bound) => value >= bound,
+        }
+    }
+}
+
+impl Row {
+    /// A value without a bound.
+    pub fn new(measure: impl Into<String>, value: f64, unit: &str) -> Self {
+        Self {
+            measure: measure.into(),
+            value,
+            unit: unit.to_owned(),
+            bound: None,
+        }
+    }
+
+    /// The same value with a bound.
+    pub fn with_bound(self, bound: Bound) -> Self {
+        Self {
+            bound: Some(bound),
+            ..self
+        }
+    }
+
+    /// Whether the value is out of its bound.
+    pub fn is_passed(&self) -> bool {
+        self.bound.is_some_and(|bound| !bound.holds(self.value))
+    }
+
+    /// Cells of the table: measure, value, unit, bound, within, ratio to the baseline.
+    pub fn cells(&self, baseline: &[Row]) -> [String; 6] {
+        let bound = self
+            .bound
+            .map_or(NOTHING.to_owned(), |bound| bound.to_string());
+        let within = match self.bound {
+            None => NOTHING,
+            Some(_) if self.is_passed() => "NO",
+            Some(_) => "yes",
+        };
+        let earlier = baseline.iter().find(|row| row.measure == self.measure);
+        let ratio = earlier.filter(|row| row.value != 0.0);
+        let ratio = ratio.map(|row| format!("{:.2}", self.value / row.value));
+        [
+            self.measure.clone(),
+            format!("{:.3}", self.value),
+            self.unit.clone(),
+            bound,
+            within.to_owned(),
+            ratio.unwrap_or(NOTHING.to_owned()),
+        ]
+    }
+}
+
+/// A row as it is written, with its verdict for other tools.
+#[derive(Serialize)]
+struct Line<'a> {
+    #[serde(flatten)]
+    row: &'a Row,
+    within: Option<bool>,
+}
+
+/// Writes rows as JSON lines.
+pub fn to_lines(rows: &[Row]) -> Result<String> {
+    let mut text = String::new();
+    for row in rows {
+        let within = row.bound.map(|_| !row.is_passed());
+        let line = serde_json::to_string(&Line { row, within });
+        text.push_str(&line.map_err(|e| TaskError::Broken(e.to_string()))?);
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+/// Reads rows from JSON lines.
+pub fn parse(text: &str) -> Result<Vec<Row>> {
+    let parse = |line| serde_json::from_str(line);
+    let rows: std::result::Result<_, _> = text.lines().map(parse).collect();
+    rows.map_err(|e| TaskError::Broken(format!("baseline: {e}")))
+}
+
+/// Value at a percentile of sorted values, by nearest rank.
+pub fn quantile(sorted: &[f64], percent: usize) -> f64 {
+    let rank = (sorted.len() * percent).div_ceil(100);
+    sorted.get(rank.max(1) - 1).copied().unwrap_or(f64::NAN)
+}
+
+/// Sorted values.
+pub fn sorted(values: impl IntoIterator<Item = f64>) -> Vec<f64> {
+    let mut values: Vec<f64> = values.into_iter().collect();
+    values.sort_by(f64::total_cmp);
+    values
+}
--- /dev/null
+++ b/xtask/src/bench/throughput.rs
@@ -0,0 +1,82 @@
+//! Calls a second through two daemons, and the processor time that a call costs them.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_edge::Conn;
+use http_edge::Limits;
+use http_edge::block_on;
+
+use crate::bench::latency;
+use crate::bench::proc::processor_time;
+use crate::bench::row::Bound;
+use crate::bench::row::Row;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::fleet::Files;
+use crate::process::Interrupt;
+
+/// Calls at once.
+const AT_ONCE: usize = 32;
+
+/// How long calls are sent.
+const TIME: Duration = Duration::from_secs(4);
+
+/// Calls a second and daemon at the size that the system has to reach: 520,000 over 1,400.
+const RATE_BOUND: f64 = 520_000.0 / 1400.0;
+
+/// Timeout of opening a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Measures.
+pub fn run(interrupt: &Interrupt) -> Result<Vec<Row>> {
+    let fleet = latency::pair(interrupt)?;
+    let caller_side = fleet.id(&fleet.instances[0].daemon)?;
+    let upstream_side = fleet.id(&fleet.instances[1].daemon)?;
+    let before = [processor_time(caller_side)?, processor_time(upstream_side)?];
+    let started = Instant::now();
+    let calls = block_on(send(fleet.instances[0].calls()))?;
+    let took = started.elapsed().as_secs_f64();
+    let after = [processor_time(caller_side)?, processor_time(upstream_side)?];
+    fleet.close(Files::Remove);
+    let calls = f64::from(calls);
+    let per_call = |side: usize| (after[side] - before[side]) / calls * 1e6;
+    let rate = Bound::AtLeast(RATE_BOUND.ceil());
+    Ok(vec![
+        Row::new("calls through one pair of daemons", calls / took, "1/s").with_bound(rate),
+        Row::new("processor time of a call, caller side", per_call(0), "us"),
+        Row::new("processor time of a call, upstream side", per_call(1), "us"),
+    ])
+}
+
+async fn send(to: SocketAddr) -> Result<u32> {
+    let count = Rc::new(Cell::new(0u32));
+    let end = Instant::now() + TIME;
+    let tasks: Vec<_> = (0..AT_ONCE)
+        .map(|task| monoio::spawn(send_in_turn(to, task, end, Rc::clone(&count))))
+        .collect();
+    for task in tasks {
+        task.await?;
+    }
+    Ok(count.get())
+}
+
+async fn send_in_turn(
+    to: SocketAddr,
+    task: usize,
+    end: Instant,
+    count: Rc<Cell<u32>>,
+) -> Result<()> {
+    let conn = Conn::connect(to, CONNECT, Limits::default()).await;
+    let mut conn = conn.map_err(|e| TaskError::Broken(format!("{to}: {e}")))?;
+    let mut number = task;
+    while Instant::now() < end {
+        latency::call(&mut conn, number).await?;
+        number += AT_ONCE;
+        count.set(count.get() + 1);
+    }
+    Ok(())
+}
--- a/xtask/src/demo/client.rs
+++ b/xtask/src/client.rs
@@ -1,4 +1,4 @@
-//! Requests of the demo to daemons and stand-ins.
+//! Requests of the tasks to daemons and stand-ins.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,13 +12,13 @@
 use protocol::status::Status;
 use serde::de::DeserializeOwned;
 
-use crate::demo::Result;
-use crate::demo::error::DemoError;
+use crate::error::Result;
+use crate::error::TaskError;
 
 /// Timeout of a request.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The runs of a whole demo fit into an answer of this size, in bytes.
+/// The runs of a whole run fit into an answer of this size, in bytes.
 const ANSWER: usize = 16 * 1024 * 1024;
 
 /// Sends a request over a connection of its own.
@@ -28,7 +28,7 @@
         ..Limits::default()
     };
     let target = req.target.clone();
-    let broken = |e: String| DemoError::Broken(format!("{to}{target}: {e}"));
+    let broken = |e: String| TaskError::Broken(format!("{to}{target}: {e}"));
     block_on(async {
         let mut conn = Conn::connect(to, TIMEOUT, limits)
             .await
@@ -42,7 +42,7 @@
 pub fn get<T: DeserializeOwned>(from: SocketAddr, path: &str) -> Result<T> {
     let res = send(from, Request::get(path))?;
     serde_json::from_slice(&res.body)
-        .map_err(|e| DemoError::Broken(format!("{from}{path}: {}: {e}", res.status)))
+        .map_err(|e| TaskError::Broken(format!("{from}{path}: {}: {e}", res.status)))
 }
 
 /// Reads the status of a daemon.
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -6,12 +6,7 @@
 
 pub mod callers;
 pub mod checks;
-pub mod client;
-pub mod error;
-pub mod fleet;
-pub mod process;
 pub mod story;
-pub mod table;
 pub mod tickets;
 pub mod verdict;
 pub mod watcher;
@@ -24,10 +19,9 @@
 use clap::Command;
 use clap::value_parser;
 
-use crate::demo::error::DemoError;
-use crate::demo::process::Interrupt;
 use crate::demo::story::Keep;
 use crate::demo::story::Options;
+use crate::process::Interrupt;
 
 /// Describes the subcommand.
 pub fn command() -> Command {
@@ -74,6 +68,3 @@
     }
     Keep::No
 }
-
-/// Result of a part of the demo.
-pub type Result<T> = std::result::Result<T, DemoError>;
--- a/xtask/src/demo/callers.rs
+++ b/xtask/src/demo/callers.rs
@@ -7,10 +7,10 @@
 
 use standin_caller::CallRecord;
 
-use crate::demo::Result;
-use crate::demo::error::DemoError;
-use crate::demo::fleet::Fleet;
-use crate::demo::process::Interrupt;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::fleet::Fleet;
+use crate::process::Interrupt;
 
 /// Callers: route, kind, calls a second.
 const CALLERS: [(&str, &str, &str); 4] = [
@@ -71,7 +71,7 @@
 
 fn read_records(path: &Path) -> Result<Vec<CallRecord>> {
     let text =
-        fs::read_to_string(path).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
-    let parse = |line| serde_json::from_str(line).map_err(|e| DemoError::Broken(e.to_string()));
+        fs::read_to_string(path).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
+    let parse = |line| serde_json::from_str(line).map_err(|e| TaskError::Broken(e.to_string()));
     text.lines().map(parse).collect()
 }
--- a/xtask/src/demo/story.rs
+++ b/xtask/src/demo/story.rs
@@ -1,7 +1,6 @@
 //! What happens in the demo, in order.
 
 use std::collections::BTreeMap;
-use std::fs;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,36 +12,34 @@
 use standin_upstream::Faults;
 use standin_upstream::RunSummary;
 
-use crate::demo::Result;
+use crate::client;
 use crate::demo::callers;
 use crate::demo::checks::Evidence;
-use crate::demo::client;
-use crate::demo::error::DemoError;
-use crate::demo::fleet::Fleet;
-use crate::demo::fleet::Instance;
-use crate::demo::fleet::ZONES;
-use crate::demo::process::Interrupt;
 use crate::demo::tickets;
 use crate::demo::verdict;
 use crate::demo::watcher::Watcher;
-use crate::steps::cargo;
-use crate::steps::root;
-
-/// Programs that the demo runs.
-const PACKAGES: [&str; 5] = [
-    "bronzeheadd",
-    "bronzehead-cli",
-    "standin-log",
-    "standin-upstream",
-    "standin-caller",
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::fleet::Files;
+use crate::fleet::Fleet;
+use crate::fleet::Instance;
+use crate::fleet::JOIN_PATIENCE;
+use crate::fleet::Net;
+use crate::process::Interrupt;
+use crate::steps::Build;
+
+/// Two of Tanoa's availability zones.
+const ZONES: [&str; 2] = ["suva-a", "nadi-a"];
+
+/// Services and versions; an upstream of each runs in each zone.
+const VERSIONS: [(&str, &str); 5] = [
+    ("catalogue", "v1"),
+    ("bookings", "v1"),
+    ("payments", "v1"),
+    ("bookings", "v2"),
+    ("payments", "v2"),
 ];
 
-/// Longest time until all daemons know each other.
-const JOIN_PATIENCE: Duration = Duration::from_secs(10);
-
-/// Longest time until a ticket is in force everywhere.
-const IN_FORCE_PATIENCE: Duration = Duration::from_secs(7);
-
 /// Longest time until a move has ended.
 const MOVE_PATIENCE: Duration = Duration::from_secs(22);
 
@@ -81,44 +78,33 @@
 
 /// Runs everything; returns the counts of the last line.
 pub fn tell(options: &Options, interrupt: &Interrupt) -> Result<String> {
-    build(interrupt)?;
-    let dir = root().join(format!("target/demo-{}", std::process::id()));
-    fs::create_dir_all(&dir).map_err(|e| DemoError::Io(dir.display().to_string(), e))?;
-    let fleet = Fleet::new(dir.clone())?;
+    Build::Debug.run(interrupt)?;
+    let net = Net::own();
     let mut demo = Demo {
-        fleet,
+        fleet: Fleet::new(net, instances(net), Build::Debug)?,
         interrupt,
         started: Instant::now(),
         refusals: [0, 0],
     };
     let result = demo.run(options);
-    demo.fleet.close();
-    match result {
-        Ok(line) => {
-            let _ = fs::remove_dir_all(&dir);
-            Ok(line)
-        }
-        Err(e) => {
-            println!("output of all processes: {}", dir.display());
-            Err(e)
-        }
-    }
+    let files = match result {
+        Ok(_) => Files::Remove,
+        Err(_) => Files::Keep,
+    };
+    demo.fleet.close(files);
+    result
 }
 
-fn build(interrupt: &Interrupt) -> Result<()> {
-    println!("build");
-    let mut command = cargo(&["build", "--quiet", "--locked"]);
-    for package in PACKAGES {
-        command.args(["--package", package]);
-    }
-    let status = command
-        .status()
-        .map_err(|e| DemoError::Io("cargo build".to_owned(), e))?;
-    interrupt.check()?;
-    if !status.success() {
-        return Err(DemoError::Broken("the build failed".to_owned()));
-    }
-    Ok(())
+fn instances(net: Net) -> Vec<Instance> {
+    let in_zones = VERSIONS
+        .iter()
+        .flat_map(|version| ZONES.map(|zone| (zone, version)));
+    let numbered = in_zones.zip(0u8..);
+    numbered
+        .map(|((zone, (service, version)), number)| {
+            Instance::new(net, number, zone, service, version)
+        })
+        .collect()
 }
 
 struct Demo<'a> {
@@ -169,13 +155,7 @@
             "start the log service, {count} upstreams and daemons in {zones}"
         ));
         self.fleet.start(self.interrupt)?;
-        let instances = self.fleet.instances.clone();
-        for instance in &instances {
-            let what = format!("{} to know all others", instance.daemon);
-            self.interrupt.until(&what, JOIN_PATIENCE, || {
-                knows_all(instance, &instances).then_some(())
-            })?;
-        }
+        self.fleet.joined(self.interrupt)?;
         self.say("every daemon knows every other and its upstream");
         Ok(())
     }
@@ -193,9 +173,9 @@
         self.say(&said.last);
         if said.code != 0 {
             let text = format!("ticket {} was not accepted: {}", ticket.ticket, said.last);
-            return Err(DemoError::Broken(text));
+            return Err(TaskError::Broken(text));
         }
-        self.in_force(ticket.ticket)?;
+        self.fleet.in_force(self.interrupt, ticket.ticket)?;
         let took = published.elapsed().as_millis();
         self.say(&format!(
             "ticket {} is in force on every daemon after {took} ms",
@@ -204,17 +184,6 @@
         Ok(())
     }
 
-    fn in_force(&mut self, number: TicketNumber) -> Result<()> {
-        for instance in self.fleet.instances.clone() {
-            let what = format!("ticket {number} on {}", instance.daemon);
-            self.interrupt.until(&what, IN_FORCE_PATIENCE, || {
-                let status = client::status(instance.local()).ok()?;
-                (status.ticket >= number).then_some(())
-            })?;
-        }
-        Ok(())
-    }
-
     /// A check finds the dangling route without asking anyone, and publishing refuses it.
     fn refuse_dangling(&mut self) -> Result<()> {
         let ticket = dangling()?;
@@ -244,7 +213,7 @@
             fail: 0.5,
             ..Faults::default()
         };
-        let body = serde_json::to_vec(&faults).map_err(|e| DemoError::Broken(e.to_string()))?;
+        let body = serde_json::to_vec(&faults).map_err(|e| TaskError::Broken(e.to_string()))?;
         for instance in self.bad_instances() {
             client::send(instance.upstream(), Request::post("/faults", body.clone()))?;
         }
@@ -344,20 +313,6 @@
     }
 }
 
-fn knows_all(instance: &Instance, instances: &[Instance]) -> bool {
-    let Ok(status) = client::status(instance.local()) else {
-        return false;
-    };
-    let knows = |other: &Instance| {
-        let mut members = status.members.iter();
-        members.any(|member| member.daemon == other.daemon && member.upstream.is_some())
-    };
-    let mut others = instances
-        .iter()
-        .filter(|other| other.daemon != instance.daemon);
-    others.all(knows)
-}
-
 /// A ticket with a route to a service that nobody has.
 fn dangling() -> Result<Ticket> {
     let mut ticket = tickets::start()?;
@@ -366,7 +321,7 @@
         service: "nowhere".into(),
         ..route.clone()
     });
-    let route = route.ok_or_else(|| DemoError::Broken("the example has no route".to_owned()))?;
+    let route = route.ok_or_else(|| TaskError::Broken("the example has no route".to_owned()))?;
     ticket.routes.insert("/nowhere".into(), route);
     Ok(ticket)
 }
--- a/xtask/src/demo/tickets.rs
+++ b/xtask/src/demo/tickets.rs
@@ -11,12 +11,12 @@
 use base::units::unix_millis;
 use ledger::Ticket;
 
-use crate::demo::Result;
-use crate::demo::error::DemoError;
-use crate::demo::fleet::Fleet;
-use crate::demo::process::Interrupt;
-use crate::demo::process::Process;
-use crate::demo::process::log_path;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::fleet::Fleet;
+use crate::process::Interrupt;
+use crate::process::Process;
+use crate::process::log_path;
 use crate::steps::root;
 
 /// Second ticket: bookings to a good version.
@@ -64,15 +64,15 @@
 fn example(name: &str) -> Result<Ticket> {
     let path = root().join("examples/tickets").join(name);
     let text =
-        fs::read_to_string(&path).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
-    serde_yaml_ng::from_str(&text).map_err(|e| DemoError::Broken(format!("{name}: {e}")))
+        fs::read_to_string(&path).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
+    serde_yaml_ng::from_str(&text).map_err(|e| TaskError::Broken(format!("{name}: {e}")))
 }
 
 /// Writes a ticket into a file.
 pub fn write(fleet: &Fleet, name: &str, ticket: &Ticket) -> Result<PathBuf> {
     let path = fleet.dir().join(format!("{name}.yaml"));
-    let text = serde_yaml_ng::to_string(ticket).map_err(|e| DemoError::Broken(e.to_string()))?;
-    fs::write(&path, text).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+    let text = serde_yaml_ng::to_string(ticket).map_err(|e| TaskError::Broken(e.to_string()))?;
+    fs::write(&path, text).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
     Ok(path)
 }
 
@@ -126,7 +126,7 @@
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .status()
-        .map_err(|e| DemoError::Io("bronzehead".to_owned(), e))?;
+        .map_err(|e| TaskError::Io("bronzehead".to_owned(), e))?;
     Ok(status.code().unwrap_or(-1))
 }
 
--- a/xtask/src/demo/verdict.rs
+++ b/xtask/src/demo/verdict.rs
@@ -2,14 +2,14 @@
 
 use standin_caller::Summary;
 
-use crate::demo::Result;
 use crate::demo::checks;
 use crate::demo::checks::Check;
 use crate::demo::checks::Evidence;
 use crate::demo::checks::Held;
-use crate::demo::error::DemoError;
-use crate::demo::table;
 use crate::demo::tickets;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::table;
 
 /// Prints the table and makes the last line, or names what did not hold.
 pub fn conclude(evidence: &Evidence) -> Result<String> {
@@ -21,7 +21,7 @@
         .map(|check| format!("{}: {}", check.name, check.counted))
         .collect();
     if !failed.is_empty() {
-        return Err(DemoError::Checks(failed));
+        return Err(TaskError::Checks(failed));
     }
     Ok(last_line(evidence))
 }
--- a/xtask/src/demo/watcher.rs
+++ b/xtask/src/demo/watcher.rs
@@ -12,8 +12,8 @@
 use base::TicketNumber;
 use protocol::status::Status;
 
-use crate::demo::client;
-use crate::demo::fleet::Instance;
+use crate::client;
+use crate::fleet::Instance;
 
 /// Pause between two rounds over all daemons.
 const PAUSE: Duration = Duration::from_millis(50);
--- a/xtask/src/demo/error.rs
+++ b/xtask/src/error.rs
@@ -1,11 +1,11 @@
-//! Why the demo did not come to its end.
+//! Why a task did not come to its end.
 
 use std::fmt;
 use std::io;
 
-/// Why the demo did not come to its end.
+/// Why a task did not come to its end.
 #[derive(Debug)]
-pub enum DemoError {
+pub enum TaskError {
     /// The operator asked to end.
     Interrupted,
     /// The system refused something; holds what.
@@ -18,7 +18,7 @@
     Checks(Vec<String>),
 }
 
-impl fmt::Display for DemoError {
+impl fmt::Display for TaskError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Interrupted => f.write_str("interrupted"),
@@ -30,4 +30,7 @@
     }
 }
 
-impl std::error::Error for DemoError {}
+impl std::error::Error for TaskError {}
+
+/// Result of a part of a task.
+pub type Result<T> = std::result::Result<T, TaskError>;
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -1,5 +1,6 @@
-//! The part of Tanoa that the demo runs, and its addresses.
+//! Instances that a task runs on this machine, and their addresses.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -9,32 +10,23 @@
 
 use base::DaemonId;
 use base::ServiceName;
+use base::TicketNumber;
 use base::VersionName;
 use base::ZoneName;
 use settings::Settings;
-use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-use crate::demo::Result;
-use crate::demo::client;
-use crate::demo::error::DemoError;
-use crate::demo::process::Interrupt;
-use crate::demo::process::Process;
-use crate::demo::process::end_all;
+use crate::client;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::process::Interrupt;
+use crate::process::Process;
+use crate::process::end_all;
+use crate::steps::Build;
 use crate::steps::root;
 
-/// Two of Tanoa's availability zones.
-pub const ZONES: [&str; 2] = ["suva-a", "nadi-a"];
-
-/// Services and versions; an upstream of each runs in each zone.
-const VERSIONS: [(&str, &str); 5] = [
-    ("catalogue", "v1"),
-    ("bookings", "v1"),
-    ("payments", "v1"),
-    ("bookings", "v2"),
-    ("payments", "v2"),
-];
-
+const LOG_HOST: u8 = 1;
+const FIRST_HOST: u8 = 10;
 const LOG_PORT: u16 = 7000;
 const CALLS_PORT: u16 = 7100;
 const PEERS_PORT: u16 = 7101;
@@ -47,6 +39,12 @@
 /// Longest time that the processes may take to end.
 const END_PATIENCE: Duration = Duration::from_secs(8);
 
+/// Longest time until all daemons know each other.
+pub const JOIN_PATIENCE: Duration = Duration::from_secs(15);
+
+/// Longest time until a ticket is in force everywhere.
+const IN_FORCE_PATIENCE: Duration = Duration::from_secs(7);
+
 /// One instance: a daemon and the upstream beside it.
 #[derive(Debug, Clone)]
 pub struct Instance {
@@ -61,7 +59,36 @@
     ip: Ipv4Addr,
 }
 
+/// A network of the loopback interface that no other task on the machine uses.
+#[derive(Debug, Clone, Copy)]
+pub struct Net([u8; 3]);
+
+impl Net {
+    /// The network of this process.
+    pub fn own() -> Self {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        // The top bit keeps clear of the networks that people use by hand.
+        Self([127, high | 0x80, low])
+    }
+
+    fn host(self, host: u8) -> Ipv4Addr {
+        let Self([a, b, c]) = self;
+        Ipv4Addr::new(a, b, c, host)
+    }
+}
+
 impl Instance {
+    /// The instance with this number, counted from 0.
+    pub fn new(net: Net, number: u8, zone: &str, service: &str, version: &str) -> Self {
+        Self {
+            daemon: format_smolstr!("{zone}-{service}-{version}-{number}"),
+            zone: zone.into(),
+            service: service.into(),
+            version: version.into(),
+            ip: net.host(FIRST_HOST + number),
+        }
+    }
+
     /// Where the daemon takes calls.
     pub fn calls(&self) -> SocketAddr {
         (self.ip, CALLS_PORT).into()
@@ -95,25 +122,31 @@
     log: SocketAddr,
     dir: PathBuf,
     programs: PathBuf,
+    upstream_options: Vec<String>,
     processes: Vec<Process>,
 }
 
 impl Fleet {
-    /// A fleet of which nothing runs yet; files go to `dir`.
-    pub fn new(dir: PathBuf) -> Result<Self> {
-        let exe =
-            std::env::current_exe().map_err(|e| DemoError::Io("own program".to_owned(), e))?;
-        let programs = exe.parent().unwrap_or(Path::new(".")).to_owned();
-        let net = own_net();
+    /// A fleet of which nothing runs yet, with the programs of a build; files go to a directory
+    /// of this process below `target`.
+    pub fn new(net: Net, instances: Vec<Instance>, build: Build) -> Result<Self> {
+        let dir = root().join(format!("target/run-{}", std::process::id()));
+        fs::create_dir_all(&dir).map_err(|e| TaskError::Io(dir.display().to_string(), e))?;
         Ok(Self {
-            instances: instances(net),
-            log: (Ipv4Addr::new(net[0], net[1], net[2], 1), LOG_PORT).into(),
+            instances,
+            log: (net.host(LOG_HOST), LOG_PORT).into(),
             dir,
-            programs,
+            programs: build.programs(),
+            upstream_options: Vec::new(),
             processes: Vec::new(),
         })
     }
 
+    /// Sets further options of all upstreams.
+    pub fn upstream_options(&mut self, options: &[&str]) {
+        self.upstream_options = options.iter().map(|option| (*option).to_owned()).collect();
+    }
+
     /// Address of the log service.
     pub fn log(&self) -> SocketAddr {
         self.log
@@ -145,18 +178,52 @@
         Ok(())
     }
 
+    /// Waits until every daemon knows every other and its upstream.
+    pub fn joined(&self, interrupt: &Interrupt) -> Result<()> {
+        for instance in &self.instances {
+            let what = format!("{} to know all others", instance.daemon);
+            interrupt.until(&what, JOIN_PATIENCE, || {
+                self.is_known_to(instance).then_some(())
+            })?;
+        }
+        Ok(())
+    }
+
+    fn is_known_to(&self, instance: &Instance) -> bool {
+        let Ok(status) = client::status(instance.local()) else {
+            return false;
+        };
+        let knows = |other: &Instance| {
+            let mut members = status.members.iter();
+            members.any(|member| member.daemon == other.daemon && member.upstream.is_some())
+        };
+        self.instances.iter().all(knows)
+    }
+
+    /// Waits until a ticket, or a later one, is in force on every daemon.
+    pub fn in_force(&self, interrupt: &Interrupt, number: TicketNumber) -> Result<()> {
+        for instance in &self.instances {
+            let what = format!("ticket {number} on {}", instance.daemon);
+            interrupt.until(&what, IN_FORCE_PATIENCE, || {
+                let status = client::status(instance.local()).ok()?;
+                (status.ticket >= number).then_some(())
+            })?;
+        }
+        Ok(())
+    }
+
     /// Starts the daemon of an instance.
     pub fn start_daemon(&mut self, instance: &Instance) -> Result<()> {
         let path = self.dir.join(format!("{}.yaml", instance.daemon));
         let text = serde_yaml_ng::to_string(&self.settings(instance)?)
-            .map_err(|e| DemoError::Broken(e.to_string()))?;
-        fs::write(&path, text).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+            .map_err(|e| TaskError::Broken(e.to_string()))?;
+        fs::write(&path, text).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
         let args = ["--settings".to_owned(), path.display().to_string()];
         self.spawn(&instance.daemon, "bronzeheadd", &args)
     }
 
     fn start_upstream(&mut self, instance: &Instance) -> Result<()> {
-        let args = [
+        let mut args = vec![
             "--listen".to_owned(),
             instance.upstream().to_string(),
             "--announce".to_owned(),
@@ -166,13 +233,14 @@
             "--version".to_owned(),
             instance.version.to_string(),
         ];
+        args.extend(self.upstream_options.iter().cloned());
         self.spawn(&instance.upstream_name(), "standin-upstream", &args)
     }
 
     /// The example's settings with this instance's name and addresses.
     fn settings(&self, instance: &Instance) -> Result<Settings> {
         let example = root().join("examples/tanoa.yaml");
-        let mut settings = Settings::load(example).map_err(|e| DemoError::Broken(e.to_string()))?;
+        let mut settings = Settings::load(example).map_err(|e| TaskError::Broken(e.to_string()))?;
         settings.daemon = instance.daemon.clone();
         settings.zone = instance.zone.clone();
         settings.listen.calls = instance.calls();
@@ -185,12 +253,9 @@
 
     /// The first instance of each zone.
     fn seeds(&self, own: &Instance) -> Vec<SocketAddr> {
-        let first = |zone: &&str| {
-            self.instances
-                .iter()
-                .find(|instance| instance.zone == **zone)
-        };
-        let firsts = ZONES.iter().filter_map(first);
+        let mut zones = BTreeSet::new();
+        let firsts = self.instances.iter();
+        let firsts = firsts.filter(|instance| zones.insert(&instance.zone));
         let seeds = firsts.map(Instance::peers);
         seeds.filter(|seed| *seed != own.peers()).collect()
     }
@@ -208,7 +273,7 @@
             .processes
             .iter()
             .position(|process| process.name() == name);
-        let at = at.ok_or_else(|| DemoError::Broken(format!("{name} is not running")))?;
+        let at = at.ok_or_else(|| TaskError::Broken(format!("{name} is not running")))?;
         Ok(self.processes.remove(at))
     }
 
@@ -217,7 +282,7 @@
         for process in &mut self.processes {
             if let Some(status) = process.ended() {
                 let name = process.name();
-                return Err(DemoError::Broken(format!(
+                return Err(TaskError::Broken(format!(
                     "{name} ended by itself: {status}"
                 )));
             }
@@ -225,40 +290,38 @@
         Ok(())
     }
 
-    /// Ends all processes.
-    pub fn close(mut self) {
-        end_all(&mut self.processes, END_PATIENCE);
+    /// Process number of a running process.
+    pub fn id(&self, name: &str) -> Result<u32> {
+        let mut processes = self.processes.iter();
+        let process = processes.find(|process| process.name() == name);
+        let process = process.ok_or_else(|| TaskError::Broken(format!("{name} is not running")))?;
+        Ok(process.id())
     }
-}
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
+    /// Ends all processes.
+    pub fn close(mut self, files: Files) {
         end_all(&mut self.processes, END_PATIENCE);
+        match files {
+            Files::Keep => println!("output of all processes: {}", self.dir.display()),
+            // What is left of them harms nobody.
+            Files::Remove => drop(fs::remove_dir_all(&self.dir)),
+        }
     }
 }
 
-/// A network of the loopback interface that no other demo on the machine uses.
-fn own_net() -> [u8; 3] {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    // The top bit keeps clear of the networks that people use by hand.
-    [127, high | 0x80, low]
+/// What becomes of settings, tickets and output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Files {
+    /// They stay, to be read.
+    Keep,
+    /// They go.
+    Remove,
 }
 
-fn instances(net: [u8; 3]) -> Vec<Instance> {
-    let mut instances = Vec::new();
-    for (service, version) in VERSIONS {
-        for zone in ZONES {
-            let host = u8::try_from(instances.len()).unwrap_or(u8::MAX) + 10;
-            instances.push(Instance {
-                daemon: format_smolstr!("{zone}-{service}-{version}"),
-                zone: SmolStr::new_static(zone),
-                service: SmolStr::new_static(service),
-                version: SmolStr::new_static(version),
-                ip: Ipv4Addr::new(net[0], net[1], net[2], host),
-            });
-        }
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        end_all(&mut self.processes, END_PATIENCE);
     }
-    instances
 }
 
 fn listening(interrupt: &Interrupt, name: &str, address: SocketAddr) -> Result<()> {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,13 @@
-//! Tasks of the workspace: `cargo xtask test`, `cargo xtask tidy`, `cargo xtask demo`.
+//! Tasks of the workspace: `cargo xtask` with `test`, `tidy`, `demo` or `bench`.
 
+mod bench;
+mod client;
 mod demo;
+mod error;
+mod fleet;
+mod process;
 mod steps;
+mod table;
 mod test;
 mod tidy;
 
@@ -15,6 +21,7 @@
         Some(("test", _)) => test::run(),
         Some(("tidy", _)) => tidy::run(),
         Some(("demo", matches)) => demo::run(matches),
+        Some(("bench", matches)) => bench::run(matches),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
@@ -34,6 +41,7 @@
                 ),
         )
         .subcommand(demo::command())
+        .subcommand(bench::command())
         .subcommand(
             Command::new("tidy").about("Checks imports, module comments and sizes of all files"),
         )
--- a/xtask/src/demo/process.rs
+++ b/xtask/src/process.rs
@@ -1,4 +1,4 @@
-//! Processes that the demo starts, and their end.
+//! Processes that a task starts, and their end.
 
 use std::ffi::OsStr;
 use std::fs::File;
@@ -19,8 +19,8 @@
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 
-use crate::demo::Result;
-use crate::demo::error::DemoError;
+use crate::error::Result;
+use crate::error::TaskError;
 
 /// How often something that is waited for is looked at.
 const POLL: Duration = Duration::from_millis(20);
@@ -37,7 +37,7 @@
         let flag = Arc::new(AtomicBool::new(false));
         for signal in [SIGINT, SIGTERM, SIGHUP] {
             signal_hook::flag::register(signal, Arc::clone(&flag))
-                .map_err(|e| DemoError::Io("signals".to_owned(), e))?;
+                .map_err(|e| TaskError::Io("signals".to_owned(), e))?;
         }
         Ok(Self { flag })
     }
@@ -45,7 +45,7 @@
     /// An error once the operator asked to end.
     pub fn check(&self) -> Result<()> {
         if self.flag.load(Ordering::Relaxed) {
-            return Err(DemoError::Interrupted);
+            return Err(TaskError::Interrupted);
         }
         Ok(())
     }
@@ -73,14 +73,14 @@
                 return Ok(found);
             }
             if Instant::now() > end {
-                return Err(DemoError::TimedOut(what.to_owned()));
+                return Err(TaskError::TimedOut(what.to_owned()));
             }
             self.pause(POLL)?;
         }
     }
 }
 
-/// A process of the demo; killed when dropped.
+/// A process of a task; killed when dropped.
 pub struct Process {
     name: String,
     child: Child,
@@ -96,17 +96,17 @@
     ) -> Result<Self> {
         let path = log_path(dir, name);
         let file = File::options().create(true).append(true).open(&path);
-        let out = file.map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+        let out = file.map_err(|e| TaskError::Io(path.display().to_string(), e))?;
         let err = out
             .try_clone()
-            .map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+            .map_err(|e| TaskError::Io(path.display().to_string(), e))?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
             .stdout(out)
             .stderr(err)
             .spawn()
-            .map_err(|e| DemoError::Io(program.display().to_string(), e))?;
+            .map_err(|e| TaskError::Io(program.display().to_string(), e))?;
         Ok(Self {
             name: name.to_owned(),
             child,
@@ -118,6 +118,11 @@
         &self.name
     }
 
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Its exit status if it has ended.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
@@ -131,9 +136,9 @@
         // The standard library can only kill; every POSIX shell can ask.
         Command::new("sh")
             .args(["-c", "kill -TERM \"$1\"", "sh"])
-            .arg(self.child.id().to_string())
+            .arg(self.id().to_string())
             .status()
-            .map_err(|e| DemoError::Io("kill".to_owned(), e))?;
+            .map_err(|e| TaskError::Io("kill".to_owned(), e))?;
         Ok(())
     }
 
--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -8,6 +8,10 @@
 use std::process::Command;
 use std::process::ExitStatus;
 
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::process::Interrupt;
+
 /// Root of the workspace.
 pub fn root() -> PathBuf {
     let own = Path::new(env!("CARGO_MANIFEST_DIR"));
@@ -22,6 +26,56 @@
     command
 }
 
+/// How the programs of the workspace are built.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Build {
+    /// Quickly, with checks.
+    Debug,
+    /// Fast programs.
+    Release,
+}
+
+/// Programs that tasks run.
+const PROGRAMS: [&str; 5] = [
+    "bronzeheadd",
+    "bronzehead-cli",
+    "standin-log",
+    "standin-upstream",
+    "standin-caller",
+];
+
+impl Build {
+    /// Builds the programs that tasks run.
+    pub fn run(self, interrupt: &Interrupt) -> Result<()> {
+        println!("build");
+        let mut command = cargo(&["build", "--quiet", "--locked"]);
+        if self == Self::Release {
+            command.arg("--release");
+        }
+        for package in PROGRAMS {
+            command.args(["--package", package]);
+        }
+        let status = command
+            .status()
+            .map_err(|e| TaskError::Io("cargo build".to_owned(), e))?;
+        interrupt.check()?;
+        if !status.success() {
+            return Err(TaskError::Broken("the build failed".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Directory of the programs.
+    pub fn programs(self) -> PathBuf {
+        let target = std::env::var_os("CARGO_TARGET_DIR").map(PathBuf::from);
+        let target = target.unwrap_or_else(|| root().join("target"));
+        target.join(match self {
+            Self::Debug => "debug",
+            Self::Release => "release",
+        })
+    }
+}
+
 /// Runs a command to its end and hands each line of its output, standard error included, to
 /// `each`, in the order in which they were written.
 pub fn run_lines(mut command: Command, mut each: impl FnMut(&str)) -> io::Result<ExitStatus> {
--- a/xtask/src/tests/demo.rs
+++ b/xtask/src/tests/demo.rs
@@ -13,9 +13,9 @@
 use crate::demo::checks::Evidence;
 use crate::demo::checks::Held;
 use crate::demo::checks::all;
-use crate::demo::table;
 use crate::demo::watcher::Newest;
 use crate::demo::watcher::Watched;
+use crate::table;
 
 fn end(ticket: u64, service: &str, end: MoveEnd) -> EndReport {
     EndReport {
