--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointPhase;
 
--- a/xtask/src/demo/story.rs
+++ b/xtask/src/demo/story.rs
@@ -163,7 +163,7 @@
     fn publish_first(&mut self) -> Result<()> {
         self.refuse_dangling()?;
         self.publish("start", &tickets::start()?)?;
-        self.refuse("late", &tickets::start()?)
+        self.refuse("late", &tickets::late()?)
     }
 
     /// Publishes a ticket that has to be accepted and waits until it is in force everywhere.
--- a/xtask/src/demo/tickets.rs
+++ b/xtask/src/demo/tickets.rs
@@ -38,6 +38,15 @@
     example("1-tanoa-start.yaml")
 }
 
+/// Another ticket with the first one's number; the same one again would be found accepted.
+pub fn late() -> Result<Ticket> {
+    let mut ticket = start()?;
+    for route in ticket.routes.values_mut() {
+        route.timeout *= 2;
+    }
+    Ok(ticket)
+}
+
 /// The second example with a time that lies near.
 pub fn good() -> Result<Ticket> {
     let mut ticket = example("2-tanoa-bookings-v2.yaml")?;
@@ -123,6 +132,7 @@
     let status = Command::new(fleet.program("bronzehead"))
         .args(["ticket", "check"])
         .arg(file)
+        .args(["--log", &fleet.log().to_string()])
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .status()
--- a/xtask/src/tests.rs
+++ b/xtask/src/tests.rs
@@ -2,5 +2,6 @@
 
 mod bench;
 mod demo;
+mod docs;
 mod known_red;
 mod tidy;
--- /dev/null
+++ b/xtask/src/tests/docs.rs
@@ -0,0 +1,110 @@
+//! Tests that what the documents name exists.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use settings::Settings;
+
+use crate::steps::root;
+use crate::tidy;
+
+/// Directories of the workspace that documents point into.
+const DIRS: [&str; 7] = [
+    "crates/",
+    "cli/",
+    "daemons/",
+    "docs/",
+    "examples/",
+    "standins/",
+    "xtask/",
+];
+
+fn documents() -> Vec<(PathBuf, String)> {
+    let docs = fs::read_dir(root().join("docs")).unwrap();
+    let mut paths: Vec<PathBuf> = docs.map(|entry| entry.unwrap().path()).collect();
+    paths.push(root().join("README.md"));
+    paths.retain(|path| path.extension().is_some_and(|extension| extension == "md"));
+    let read = |path: PathBuf| {
+        let text = fs::read_to_string(&path).unwrap();
+        (path, text)
+    };
+    paths.into_iter().map(read).collect()
+}
+
+/// Texts between backticks, one line each.
+fn quoted(text: &str) -> impl Iterator<Item = &str> {
+    text.lines()
+        .flat_map(|line| line.split('`').skip(1).step_by(2))
+}
+
+/// Targets of links that are not addresses.
+fn links(text: &str) -> impl Iterator<Item = &str> {
+    let targets = text.split("](").skip(1);
+    let targets = targets.filter_map(|rest| rest.split([')', '#']).next());
+    targets.filter(|target| !target.is_empty() && !target.contains("://"))
+}
+
+fn assert_exists(document: &Path, base: &Path, name: &str) {
+    let exists = base.join(name).exists();
+    assert!(exists, "{}: {name} does not exist", document.display());
+}
+
+#[test]
+fn links_and_paths_in_the_documents_exist() {
+    for (path, text) in documents() {
+        let dir = path.parent().unwrap();
+        links(&text).for_each(|target| assert_exists(&path, dir, target));
+        let is_path = |word: &&str| {
+            let plain = |c: char| c.is_ascii_alphanumeric() || "/-_.".contains(c);
+            DIRS.iter().any(|start| word.starts_with(start)) && word.chars().all(plain)
+        };
+        let paths = quoted(&text).filter(is_path);
+        paths.for_each(|name| assert_exists(&path, &root(), name));
+    }
+}
+
+#[test]
+fn the_operators_page_names_each_settings_key() {
+    let page = fs::read_to_string(root().join("docs/OPERATING.md")).unwrap();
+    let named: BTreeSet<&str> = quoted(&page).collect();
+    let settings = Settings::load(root().join("examples/tanoa.yaml")).unwrap();
+    let settings = serde_yaml_ng::to_value(settings).unwrap();
+    for key in keys(&settings, "") {
+        assert!(named.contains(key.as_str()), "{key} is not on the page");
+    }
+}
+
+/// Dotted paths of all values that are no maps.
+fn keys(value: &serde_yaml_ng::Value, path: &str) -> Vec<String> {
+    let Some(map) = value.as_mapping() else {
+        return vec![path.to_owned()];
+    };
+    let nested = map.iter().flat_map(|(key, value)| {
+        let key = key.as_str().unwrap();
+        match path {
+            "" => keys(value, key),
+            _ => keys(value, &format!("{path}.{key}")),
+        }
+    });
+    nested.collect()
+}
+
+/// Names such as `rollout::tests::a_late_fault_is_found` stand for tests.
+#[test]
+fn tests_that_the_proofs_name_exist() {
+    let Ok(page) = fs::read_to_string(root().join("docs/PROOFS.md")) else {
+        return;
+    };
+    let sources = tidy::sources(&root()).unwrap();
+    let sources: String = sources
+        .iter()
+        .map(|path| fs::read_to_string(path).unwrap())
+        .collect();
+    for name in quoted(&page).filter(|name| name.contains("::")) {
+        let test = name.rsplit("::").next().unwrap();
+        let exists = sources.contains(&format!("fn {test}("));
+        assert!(exists, "docs/PROOFS.md: no test {name}");
+    }
+}
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -53,13 +53,8 @@
 
 /// Checks all source files below `root`.
 pub fn findings(root: &Path) -> io::Result<Vec<Finding>> {
-    let mut files = Vec::new();
-    for dir in DIRS {
-        collect(&root.join(dir), &mut files)?;
-    }
-    files.sort_unstable();
     let mut findings = Vec::new();
-    for path in files {
+    for path in sources(root)? {
         let text = fs::read_to_string(&path)?;
         let file = path.strip_prefix(root).unwrap_or(&path);
         findings.extend(check_file(&file.display().to_string(), &text));
@@ -67,6 +62,16 @@
     Ok(findings)
 }
 
+/// All source files below `root`.
+pub fn sources(root: &Path) -> io::Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    for dir in DIRS {
+        collect(&root.join(dir), &mut files)?;
+    }
+    files.sort_unstable();
+    Ok(files)
+}
+
 fn collect(dir: &Path, files: &mut Vec<PathBuf>) -> io::Result<()> {
     for entry in fs::read_dir(dir)? {
         let path = entry?.path();
