--- a/xtask/src/tests.rs
+++ b/xtask/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the tasks.
 
+mod bench;
 mod demo;
+mod docs;
 mod known_red;
 mod tidy;
