Decide about moves: evidence, sequential tests, plan, lease, controller

Cause: moves need someone who raises shares and takes bad versions back, and the decision must be testable without sockets and clocks.

Evidence becomes a module of the protocol. Counts hold latency steps 1.4 apart instead of eight wide ones: with wide steps a good version just across a bound looks slow. Latencies are counted only outside the announced cold start, so `timed` stands apart from `ok`. Reports carry the calls that ran at once, since capacity has to be compared with load rather than with the old version's slots.

Merging keeps the first and the last report of each incarnation, a join that order, repeats and losses leave alone. The judge runs two statistics for each route and for all: a cumulative sum of likelihood ratios against four worse rates, floored at zero, and a Wald proof that restarts with each step. Weighed and left out: one Wald test from the start of the move. It needs 392 failing calls in place of 5 after 10,000 good ones. Fixed windows would have needed a length for each rate of calls.

The plan divides the time left by the steps left, caps shares by warm slots, and sizes the first step so that a bad version stays within its probe calls. A share does not grow while an alarm is near. A spent probe without a proof ends the move under `safety`. The controller gives its epoch up when it was paused past the lease, and drops its windows after a shorter pause.

`trial` runs whole moves with simulated calls for tests and measurements; it stays a library module so that benchmarks can call it.

Each test was seen failing with its mechanism off: - alarms by route: "416 calls, at most 200: FailsOnOneRoute" - slowness: "203 calls, at most 200: Slow" - probe budget: "247 calls, at most 200"; hold near an alarm: "235 calls" - probe share: left Step(1000), right Step(50) - floor of the alarm: left Some(392), right Some(5) - threshold without the horizon: "454 of 2000, at most 2" - halved proof threshold: "109, at most 33" - cold start told apart: left (0, 40), right (40, 0) - preference: left 0, right 40; capacity cap: Step(400) for Step(320) - route gate: Step(400) for Step(250) - highest sequence: quickcheck "Arguments: ([(7, 138, 0), (7, 48, 1)], 0)" - bound on daemons: left 1536, right 768 - epochs of leases: left First, right Stale; first lease: Renewed for First - stop at a higher epoch, lapse by a pause, windows after a pause: actions where none were due - stagger of claims: left [4, 3], right [4, 1] - claim bound to its author: (Some(1), Some(1)) for (Some(1), None) - repeats: [] for the entry; hold while the log is down: left 1, right 0 - facts before records, facts of others, late watch: has_fact or the entry missing

--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -3,16 +3,11 @@
 //! The child asks with what it has; the parent answers at once when it has something newer, and
 //! otherwise holds the request for a moment and answers with the lease alone.
 
-use std::collections::BTreeMap;
-
 use base::DaemonId;
 use base::Epoch;
-use base::Incarnation;
 use base::Offset;
-use base::RoutePrefix;
 use base::ServiceName;
 use base::TicketNumber;
-use base::VersionName;
 use ledger::StampedRecord;
 use ledger::State;
 use serde::Deserialize;
@@ -66,34 +61,3 @@
     /// Why, for people.
     pub reason: SmolStr,
 }
-
-/// Evidence of one instance about one service, cumulative since its incarnation began.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EvidenceReport {
-    /// Who counted.
-    pub daemon: DaemonId,
-    /// Its incarnation; counters begin at zero with it.
-    pub incarnation: Incarnation,
-    /// Rises with each report; a lower one that comes later is ignored.
-    pub sequence: u64,
-    /// Service.
-    pub service: ServiceName,
-    /// Version that the counts are about.
-    pub version: VersionName,
-    /// Counts by route.
-    pub routes: BTreeMap<RoutePrefix, CallCounts>,
-}
-
-/// Counts of finished calls.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CallCounts {
-    /// Calls that were answered without a fault.
-    pub ok: u64,
-    /// Calls that failed: a 5xx answer, a cut connection or a timeout.
-    pub failed: u64,
-    /// Calls slower than [`SLOW_CALL_STEPS`] by step: how many took longer than each.
-    pub slower: [u64; SLOW_CALL_STEPS.len()],
-}
-
-/// Bounds of the latency counts, in milliseconds.
-pub const SLOW_CALL_STEPS: [u64; 8] = [2, 5, 10, 25, 50, 100, 250, 1000];
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod announce;
 pub mod call;
 pub mod codec;
+pub mod evidence;
 pub mod feed;
 pub mod status;
 
--- /dev/null
+++ b/crates/rollout/examples/trials.rs
@@ -0,0 +1,50 @@
+//! Prints what many trials of each kind of version give.
+//!
+//! Calls and ticks up to the take-back are given as median, 99th percentile and maximum.
+
+use std::time::Duration;
+
+use rollout::policy;
+use rollout::trial::Behaviour;
+use rollout::trial::Trial;
+use rollout::trial::measure;
+
+const TRIALS: u32 = 1_000;
+
+fn main() {
+    let kinds = std::iter::once(Behaviour::Good).chain(Behaviour::BAD);
+    for behaviour in kinds {
+        for (name, base) in bases(behaviour) {
+            println!("{name}: {}", measure(&base, TRIALS));
+        }
+    }
+}
+
+/// By day, by night under both preferences, and with cold starts.
+fn bases(behaviour: Behaviour) -> [(&'static str, Trial); 5] {
+    let day = Trial::new(behaviour, 1);
+    let busy = Trial {
+        calls_per_second: 400.0,
+        failure_rate: 0.01,
+        ..day.clone()
+    };
+    let cold = Trial {
+        cold_start: Duration::from_mins(1),
+        ..day.clone()
+    };
+    let night = Trial {
+        calls_per_second: 0.5,
+        ..day.clone()
+    };
+    let night_on_time = Trial {
+        policy: policy::glykotheke(),
+        ..night.clone()
+    };
+    [
+        ("100/s, safety", day),
+        ("400/s, 1% fail, safety", busy),
+        ("100/s, cold starts, safety", cold),
+        ("0.5/s, safety", night),
+        ("0.5/s, on time", night_on_time),
+    ]
+}
--- /dev/null
+++ b/crates/rollout/src/controller.rs
@@ -0,0 +1,391 @@
+//! The controller: one daemon decides about all moves, as long as its epoch is in force.
+//!
+//! Candidates stand in a stable order for each epoch, and each waits longer than the one before
+//! it, so that as a rule one claims. Whether a claim holds is decided by the fold alone.
+
+mod candidacy;
+mod outbox;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::Epoch;
+use base::ServiceName;
+use base::UnixMillis;
+use base::VersionName;
+use ledger::Entry;
+use ledger::Record;
+use ledger::Service;
+use ledger::State;
+use protocol::evidence::EvidenceReport;
+use protocol::feed::Lease;
+use protocol::feed::TakeBackFact;
+use smol_str::SmolStr;
+
+use crate::controller::candidacy::Candidacy;
+use crate::controller::outbox::Outbox;
+use crate::evidence::Evidence;
+use crate::judge::Verdict;
+use crate::lease::LEASE_LIFE;
+use crate::lease::LeaseWatch;
+use crate::lease::Renewals;
+use crate::plan;
+use crate::plan::Capacity;
+use crate::plan::Next;
+use crate::plan::Situation;
+use crate::tracker::Comparison;
+use crate::tracker::Tracker;
+
+pub use crate::controller::outbox::REPEAT_EVERY;
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_secs(1);
+
+/// A tick that comes later than this after the one before ends all windows: what was counted
+/// before the pause decides nothing any more.
+pub const MAX_TICK_GAP: Duration = Duration::from_millis(2_500);
+
+/// The time of a tick, by both clocks.
+#[derive(Debug, Clone, Copy)]
+pub struct Moment {
+    /// For spans of time.
+    pub at: Instant,
+    /// For the tickets' times and for reports.
+    pub wall: UnixMillis,
+}
+
+/// Whether records can be appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogHealth {
+    /// Appends and reads work.
+    Up,
+    /// They do not; decisions that need a record wait.
+    Down,
+}
+
+/// What a daemon sees when a tick comes.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The folded state.
+    pub state: &'a State,
+    /// Live members, this daemon included.
+    pub members: &'a [DaemonId],
+    /// Take-backs that were heard and that the log may not hold.
+    pub facts: &'a [TakeBackFact],
+    /// Slots by service and version, of live instances that are past their cold start.
+    pub slots: &'a Slots,
+    /// Whether the log works.
+    pub log: LogHealth,
+}
+
+/// Slots of live instances that are past their cold start.
+pub type Slots = BTreeMap<(ServiceName, VersionName), u32>;
+
+/// What a daemon is to do after a tick.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Append a claim of this epoch; the entry carries it.
+    Claim {
+        /// The epoch.
+        epoch: Epoch,
+        /// The entry to append.
+        entry: Entry,
+    },
+    /// Send this lease on.
+    Renew(Lease),
+    /// Append this entry.
+    Append(Entry),
+    /// Tell all daemons at once.
+    SpreadFact(TakeBackFact),
+}
+
+/// The controller core of one daemon; idle while another daemon holds the epoch in force.
+#[derive(Debug)]
+pub struct Controller {
+    me: DaemonId,
+    candidacy: Candidacy,
+    office: Option<Office>,
+    last_tick: Option<Instant>,
+}
+
+/// What the holder of an epoch keeps.
+#[derive(Debug)]
+struct Office {
+    renewals: Renewals,
+    evidence: Evidence,
+    trackers: BTreeMap<ServiceName, Tracker>,
+    outbox: Outbox,
+}
+
+impl Controller {
+    /// A controller core that holds no epoch. `nonce` differs between starts of the daemon.
+    #[must_use]
+    pub fn new(me: DaemonId, nonce: u64) -> Self {
+        Self {
+            candidacy: Candidacy::new(me.clone(), nonce),
+            me,
+            office: None,
+            last_tick: None,
+        }
+    }
+
+    /// The epoch that this daemon holds.
+    #[must_use]
+    pub fn epoch(&self) -> Option<Epoch> {
+        Some(self.office.as_ref()?.renewals.epoch())
+    }
+
+    /// Takes a report in; one that comes while no epoch is held is dropped.
+    pub fn on_report(&mut self, report: EvidenceReport) {
+        if let Some(office) = &mut self.office {
+            office.evidence.merge(report);
+        }
+    }
+
+    /// Decides what to do now. `lease` is this daemon's view of the lease that goes round.
+    pub fn on_tick(&mut self, now: Moment, view: &View<'_>, lease: &LeaseWatch) -> Vec<Action> {
+        self.check_pause(now.at);
+        self.check_office(view.state);
+        if let Some(office) = &mut self.office {
+            return office.on_tick(now, view);
+        }
+        let claim = self.candidacy.on_tick(now, view, lease);
+        claim.into_iter().collect()
+    }
+
+    /// A holder that was paused past its lease gives the epoch up; a shorter pause ends windows.
+    fn check_pause(&mut self, now: Instant) {
+        let last = self.last_tick.replace(now);
+        let gap = last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        if gap >= LEASE_LIFE {
+            self.office = None;
+            self.candidacy.restart(now);
+        } else if gap > MAX_TICK_GAP
+            && let Some(office) = &mut self.office
+        {
+            office.restart_windows();
+        }
+    }
+
+    /// Stops at a higher epoch, and begins when an own claim is in force.
+    fn check_office(&mut self, state: &State) {
+        if let Some(epoch) = self.epoch()
+            && state.epoch > epoch
+        {
+            self.office = None;
+        }
+        let is_mine = state.controller.as_ref() == Some(&self.me);
+        if self.office.is_none() && is_mine && self.candidacy.take_claimed(state.epoch) {
+            self.office = Some(Office::new(state.epoch));
+        }
+    }
+}
+
+impl Office {
+    fn new(epoch: Epoch) -> Self {
+        Self {
+            renewals: Renewals::new(epoch),
+            evidence: Evidence::default(),
+            trackers: BTreeMap::new(),
+            outbox: Outbox::default(),
+        }
+    }
+
+    fn restart_windows(&mut self) {
+        self.evidence.clear();
+        self.trackers.clear();
+        self.outbox.drop_steps();
+    }
+
+    fn on_tick(&mut self, now: Moment, view: &View<'_>) -> Vec<Action> {
+        let mut actions = vec![Action::Renew(self.renewals.renew())];
+        self.track(view.state, now.at);
+        self.observe(view.state, now.at);
+        self.take_back(now, view, &mut actions);
+        if view.log == LogHealth::Down {
+            self.outbox.drop_steps();
+            return actions;
+        }
+        self.advance(now, view);
+        actions.extend(self.outbox.due(view.state, now.at));
+        actions
+    }
+
+    /// Keeps one tracker for each service that is compared.
+    fn track(&mut self, state: &State, now: Instant) {
+        let comparisons: BTreeMap<&ServiceName, Comparison> = state
+            .services
+            .iter()
+            .filter_map(|(name, service)| Some((name, Comparison::of(service)?)))
+            .collect();
+        self.trackers.retain(|name, tracker| {
+            comparisons
+                .get(name)
+                .is_some_and(|wanted| tracker.comparison.is_same_pair(wanted))
+        });
+        self.evidence.retain(|service, version| {
+            comparisons
+                .get(service)
+                .is_some_and(|wanted| wanted.old == *version || wanted.new == *version)
+        });
+        for (name, comparison) in comparisons {
+            let service = &state.services[name];
+            let tracker = self
+                .trackers
+                .entry(name.clone())
+                .or_insert_with(|| Tracker::new(comparison.clone(), service, now));
+            tracker.comparison = comparison;
+        }
+    }
+
+    fn observe(&mut self, state: &State, now: Instant) {
+        for (name, tracker) in &mut self.trackers {
+            let pair = &tracker.comparison;
+            let window = self.evidence.window(name, &pair.old, &pair.new);
+            tracker.observe(&state.services[name], &window, now);
+        }
+    }
+
+    /// Takes back every ticket with a bad version, and writes down what others took back.
+    fn take_back(&mut self, now: Moment, view: &View<'_>, actions: &mut Vec<Action>) {
+        for fact in view.facts {
+            if is_open(view.state, fact) {
+                self.outbox.put(take_back_entry(fact, now.wall));
+            }
+        }
+        for (name, tracker) in &self.trackers {
+            let service = &view.state.services[name];
+            let Some(reason) = bad_reason(tracker, name, service, view, now) else {
+                continue;
+            };
+            let fact = TakeBackFact {
+                ticket: tracker.comparison.ticket,
+                service: name.clone(),
+                reason,
+            };
+            if self.outbox.put(take_back_entry(&fact, now.wall)) {
+                actions.push(Action::SpreadFact(fact));
+            }
+        }
+    }
+
+    /// Raises shares and ends moves, but for those of tickets that are being taken back.
+    fn advance(&mut self, now: Moment, view: &View<'_>) {
+        for (name, tracker) in &self.trackers {
+            let service = &view.state.services[name];
+            let Some(cx) = Judged::of(tracker, name, service, view, now) else {
+                continue;
+            };
+            let ticket = tracker.comparison.ticket;
+            if self.outbox.is_taken_back(ticket) || self.outbox.has_step(name) {
+                continue;
+            }
+            let epoch = self.renewals.epoch();
+            let record = match plan::next(&cx.situation()) {
+                Next::Hold { .. } | Next::TakeBack(_) => continue,
+                Next::Step(share) => Record::Step {
+                    epoch,
+                    ticket,
+                    service: name.clone(),
+                    share,
+                },
+                Next::Finish => Record::Finish {
+                    epoch,
+                    ticket,
+                    service: name.clone(),
+                },
+            };
+            self.outbox.put(outbox::entry(record, now.wall));
+        }
+    }
+}
+
+/// A move with what is known of it, as the plan needs it.
+struct Judged<'a> {
+    service: &'a Service,
+    moving: &'a ledger::Move,
+    view: plan::EvidenceView,
+    capacity: Capacity,
+    in_step: Duration,
+    now: UnixMillis,
+}
+
+impl<'a> Judged<'a> {
+    /// `None` when no move is under way.
+    fn of(
+        tracker: &Tracker,
+        name: &ServiceName,
+        service: &'a Service,
+        view: &View<'_>,
+        now: Moment,
+    ) -> Option<Self> {
+        Some(Self {
+            service,
+            moving: service.moving.as_ref()?,
+            view: tracker.view(),
+            capacity: tracker.capacity(name, view.slots),
+            in_step: tracker.in_step(now.at),
+            now: now.wall,
+        })
+    }
+
+    fn situation(&self) -> Situation<'_> {
+        Situation {
+            moving: self.moving,
+            policy: &self.service.policy,
+            view: &self.view,
+            capacity: self.capacity,
+            in_step: self.in_step,
+            now: self.now,
+        }
+    }
+}
+
+/// Why the tracked version is to be taken back; `None` when it is not.
+fn bad_reason(
+    tracker: &Tracker,
+    name: &ServiceName,
+    service: &Service,
+    view: &View<'_>,
+    now: Moment,
+) -> Option<SmolStr> {
+    if let Some(cx) = Judged::of(tracker, name, service, view, now) {
+        return match plan::next(&cx.situation()) {
+            Next::TakeBack(reason) => Some(reason),
+            Next::Hold { .. } | Next::Step(_) | Next::Finish => None,
+        };
+    }
+    // The move has ended well. Without instances of the old version there is nothing to go
+    // back to.
+    if tracker.capacity(name, view.slots).old_slots == 0 {
+        return None;
+    }
+    match tracker.view().verdict {
+        Verdict::Bad(badness) => Some(SmolStr::from(badness.to_string())),
+        Verdict::Good | Verdict::Undecided { .. } => None,
+    }
+}
+
+fn take_back_entry(fact: &TakeBackFact, now: UnixMillis) -> Entry {
+    let record = Record::TakeBack {
+        ticket: fact.ticket,
+        service: fact.service.clone(),
+        reason: fact.reason.clone(),
+    };
+    outbox::entry(record, now)
+}
+
+/// Whether the take-back would still change the state.
+pub(crate) fn is_open(state: &State, fact: &TakeBackFact) -> bool {
+    let is_moving = state
+        .services
+        .values()
+        .filter_map(|service| service.moving.as_ref())
+        .any(|moving| moving.ticket == fact.ticket);
+    let is_late = state.services.get(&fact.service).is_some_and(|service| {
+        service.moving.is_none() && service.ticket == fact.ticket && service.previous.is_some()
+    });
+    is_moving || is_late
+}
--- /dev/null
+++ b/crates/rollout/src/controller/candidacy.rs
@@ -0,0 +1,141 @@
+//! When a daemon claims the next epoch.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::Epoch;
+use base::UnixMillis;
+use base::hash;
+use ledger::Entry;
+use ledger::Record;
+use smol_str::format_smolstr;
+
+use crate::controller::Action;
+use crate::controller::LogHealth;
+use crate::controller::Moment;
+use crate::controller::REPEAT_EVERY;
+use crate::controller::View;
+use crate::lease::LEASE_LIFE;
+use crate::lease::LeaseWatch;
+
+/// Time by which each candidate waits longer than the one before it: a claim's way through the
+/// log to the other candidates.
+pub const CLAIM_STAGGER: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+pub(crate) struct Candidacy {
+    me: DaemonId,
+    nonce: u64,
+    /// When this daemon began to wait for a renewal.
+    since: Option<Instant>,
+    /// The epoch last seen in force.
+    epoch: Epoch,
+    claim: Option<Claim>,
+}
+
+#[derive(Debug)]
+struct Claim {
+    epoch: Epoch,
+    at: UnixMillis,
+    sent: Instant,
+}
+
+impl Candidacy {
+    pub(crate) fn new(me: DaemonId, nonce: u64) -> Self {
+        Self {
+            me,
+            nonce,
+            since: None,
+            epoch: 0,
+            claim: None,
+        }
+    }
+
+    /// Begins to wait anew.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.since = Some(now);
+        self.claim = None;
+    }
+
+    /// Whether this process claimed the epoch; forgets the claim.
+    pub(crate) fn take_claimed(&mut self, epoch: Epoch) -> bool {
+        self.claim.take_if(|claim| claim.epoch == epoch).is_some()
+    }
+
+    /// Claims the next epoch when the lease has lapsed and this daemon's turn has come.
+    pub(crate) fn on_tick(
+        &mut self,
+        now: Moment,
+        view: &View<'_>,
+        lease: &LeaseWatch,
+    ) -> Option<Action> {
+        self.follow_epoch(view.state.epoch, now.at);
+        if view.log == LogHealth::Down {
+            return None;
+        }
+        if let Some(claim) = &mut self.claim {
+            let is_due = now.at.saturating_duration_since(claim.sent) >= REPEAT_EVERY;
+            return is_due.then(|| {
+                claim.sent = now.at;
+                action(&self.me, self.nonce, claim)
+            });
+        }
+        if self.silence(now.at, lease) < self.patience(view) {
+            return None;
+        }
+        let claim = Claim {
+            epoch: self.epoch + 1,
+            at: now.wall,
+            sent: now.at,
+        };
+        let action = action(&self.me, self.nonce, &claim);
+        self.claim = Some(claim);
+        Some(action)
+    }
+
+    /// A new epoch gives its holder a whole lease to make itself heard.
+    fn follow_epoch(&mut self, epoch: Epoch, now: Instant) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.restart(now);
+        }
+        self.since.get_or_insert(now);
+    }
+
+    fn silence(&self, now: Instant, lease: &LeaseWatch) -> Duration {
+        let waiting = self
+            .since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        lease.age(now).map_or(waiting, |age| age.min(waiting))
+    }
+
+    fn patience(&self, view: &View<'_>) -> Duration {
+        LEASE_LIFE + CLAIM_STAGGER * rank(&self.me, self.epoch + 1, view.members)
+    }
+}
+
+/// Place of a daemon among the candidates for an epoch; the same in equal views.
+pub(crate) fn rank(me: &DaemonId, epoch: Epoch, members: &[DaemonId]) -> u32 {
+    let key = |member: &DaemonId| hash::stable(&[&epoch.to_le_bytes(), member.as_bytes()]);
+    let mine = (key(me), me);
+    let before = members
+        .iter()
+        .filter(|member| (key(member), *member) < mine);
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
+}
+
+fn action(me: &DaemonId, nonce: u64, claim: &Claim) -> Action {
+    let epoch = claim.epoch;
+    Action::Claim {
+        epoch,
+        entry: Entry {
+            id: format_smolstr!("claim/{epoch}/{me}/{nonce}"),
+            at: claim.at,
+            record: Record::Claim {
+                epoch,
+                controller: me.clone(),
+            },
+        },
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/controller/outbox.rs
@@ -0,0 +1,144 @@
+//! Records on their way to the log, repeated until the fold has them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::RecordId;
+use base::TicketNumber;
+use base::UnixMillis;
+use ledger::Entry;
+use ledger::Record;
+use ledger::State;
+use protocol::feed::TakeBackFact;
+use smol_str::format_smolstr;
+
+use crate::controller::Action;
+use crate::controller::is_open;
+
+/// Time after which an entry that is not yet folded is appended again.
+pub const REPEAT_EVERY: Duration = Duration::from_secs(3);
+
+/// Entries by id.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    letters: BTreeMap<RecordId, Letter>,
+}
+
+#[derive(Debug)]
+struct Letter {
+    entry: Entry,
+    sent: Option<Instant>,
+}
+
+/// An entry whose id follows from what it says, so that a second copy has the same one.
+pub(crate) fn entry(record: Record, at: UnixMillis) -> Entry {
+    let id = match &record {
+        Record::Step {
+            epoch,
+            ticket,
+            service,
+            share,
+        } => format_smolstr!("step/{epoch}/{ticket}/{service}/{share}"),
+        Record::Finish {
+            epoch,
+            ticket,
+            service,
+        } => format_smolstr!("finish/{epoch}/{ticket}/{service}"),
+        Record::TakeBack {
+            ticket, service, ..
+        } => format_smolstr!("take-back/{ticket}/{service}"),
+        Record::Ticket(ticket) => format_smolstr!("ticket/{}", ticket.ticket),
+        Record::Claim { epoch, controller } => format_smolstr!("claim/{epoch}/{controller}"),
+    };
+    Entry { id, at, record }
+}
+
+impl Outbox {
+    /// Puts an entry in; false when it is already there.
+    pub(crate) fn put(&mut self, entry: Entry) -> bool {
+        if self.letters.contains_key(&entry.id) {
+            return false;
+        }
+        let id = entry.id.clone();
+        self.letters.insert(id, Letter { entry, sent: None });
+        true
+    }
+
+    /// Drops steps and ends of moves: they are decided anew from later evidence.
+    pub(crate) fn drop_steps(&mut self) {
+        self.letters
+            .retain(|_, letter| matches!(letter.entry.record, Record::TakeBack { .. }));
+    }
+
+    /// Whether a take-back of the ticket is on its way.
+    pub(crate) fn is_taken_back(&self, wanted: TicketNumber) -> bool {
+        self.records()
+            .any(|record| matches!(record, Record::TakeBack { ticket, .. } if *ticket == wanted))
+    }
+
+    /// Whether a step or the end of the service's move is on its way.
+    pub(crate) fn has_step(&self, wanted: &str) -> bool {
+        self.records().any(|record| match record {
+            Record::Step { service, .. } | Record::Finish { service, .. } => service == wanted,
+            Record::Ticket(_) | Record::Claim { .. } | Record::TakeBack { .. } => false,
+        })
+    }
+
+    /// Entries to append now; those that the state shows are dropped.
+    pub(crate) fn due(&mut self, state: &State, now: Instant) -> Vec<Action> {
+        self.letters
+            .retain(|_, letter| is_wanted(state, &letter.entry.record));
+        let mut actions = Vec::new();
+        for letter in self.letters.values_mut() {
+            if letter.is_due(now) {
+                letter.sent = Some(now);
+                actions.push(Action::Append(letter.entry.clone()));
+            }
+        }
+        actions
+    }
+
+    fn records(&self) -> impl Iterator<Item = &Record> {
+        self.letters.values().map(|letter| &letter.entry.record)
+    }
+}
+
+impl Letter {
+    fn is_due(&self, now: Instant) -> bool {
+        self.sent
+            .is_none_or(|sent| now.saturating_duration_since(sent) >= REPEAT_EVERY)
+    }
+}
+
+/// Whether the state does not show the record's effect yet and still could.
+fn is_wanted(state: &State, record: &Record) -> bool {
+    let moving = |ticket: TicketNumber, service: &str| {
+        let moving = state.services.get(service)?.moving.as_ref()?;
+        (moving.ticket == ticket).then_some(moving)
+    };
+    match record {
+        Record::Step {
+            ticket,
+            service,
+            share,
+            ..
+        } => moving(*ticket, service).is_some_and(|moving| moving.share < *share),
+        Record::Finish {
+            ticket, service, ..
+        } => moving(*ticket, service).is_some(),
+        Record::TakeBack {
+            ticket,
+            service,
+            reason,
+        } => {
+            let fact = TakeBackFact {
+                ticket: *ticket,
+                service: service.clone(),
+                reason: reason.clone(),
+            };
+            is_open(state, &fact)
+        }
+        Record::Ticket(_) | Record::Claim { .. } => false,
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/judge.rs
@@ -0,0 +1,261 @@
+//! The verdict on a new version, by route and in total.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use base::RoutePrefix;
+
+use crate::evidence::Pair;
+use crate::evidence::Window;
+use crate::reference::Reference;
+use crate::sequential::Batch;
+use crate::sequential::Detector;
+
+/// A version that fails this much more often than expected is bad without doubt.
+pub const BAD_FAILURE_MARGIN: f64 = 0.10;
+
+/// A version with this much more slow calls than expected is bad without doubt.
+pub const BAD_SLOW_MARGIN: f64 = 0.25;
+
+/// Highest rate that counts as bad, so that it stays below 1.
+const BAD_CEILING: f64 = 0.99;
+
+/// Routes with less than one in this many of the service's calls need no proof of their own.
+const RARE_ROUTE_PARTS: u64 = 50;
+
+/// Kinds of fault that each track looks for.
+const STREAMS_PER_TRACK: usize = 2;
+
+/// What the evidence says of a version.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// It is as good as the old one within the margins.
+    Good,
+    /// It is worse.
+    Bad(Badness),
+    /// Too few calls came in.
+    Undecided {
+        /// Calls without a fault that would decide.
+        calls_needed: u64,
+    },
+}
+
+/// In what a version is worse.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Badness {
+    /// What calls do.
+    pub fault: Fault,
+    /// The route on which they do it; `None` when it shows over all routes.
+    pub route: Option<RoutePrefix>,
+    /// Calls that the version had by then.
+    pub calls: u64,
+}
+
+/// What calls on a bad version do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// They fail.
+    Fails,
+    /// They are slow.
+    Slow,
+}
+
+/// Compares a new version with the old one, batch by batch.
+#[derive(Debug, Clone, Default)]
+pub struct Judge {
+    last: Window,
+    total: Track,
+    routes: BTreeMap<RoutePrefix, Track>,
+    was_proven: bool,
+}
+
+/// Tests on the calls of one route, or of all.
+#[derive(Debug, Clone, Default)]
+struct Track {
+    reference: Reference,
+    failures: Detector,
+    slowness: Detector,
+    calls: u64,
+    new_calls: u64,
+}
+
+impl Judge {
+    /// Takes in the window as it stands now; what it holds beyond the last one is new.
+    pub fn observe(&mut self, window: &Window) {
+        self.total
+            .observe(&window.total().since(&self.last.total()));
+        for (route, pair) in &window.routes {
+            let batch = pair.since(&self.last.route(route));
+            self.routes
+                .entry(route.clone())
+                .or_default()
+                .observe(&batch);
+        }
+        self.last = window.clone();
+        self.was_proven |= self.total.is_proven();
+    }
+
+    /// Forgets the proof, so that a larger share needs one of its own. Alarms go on.
+    pub fn restart_proof(&mut self) {
+        self.total.restart_proof();
+        for track in self.routes.values_mut() {
+            track.restart_proof();
+        }
+    }
+
+    /// The verdict over all routes; badness of a single route counts too.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if let Some(badness) = self.badness() {
+            return Verdict::Bad(badness);
+        }
+        if self.total.is_proven() {
+            return Verdict::Good;
+        }
+        Verdict::Undecided {
+            calls_needed: self.total.calls_needed(),
+        }
+    }
+
+    /// Whether each route with a fair part of the calls is proven on its own.
+    #[must_use]
+    pub fn are_routes_proven(&self) -> bool {
+        let fair = self.total.calls / RARE_ROUTE_PARTS;
+        self.routes
+            .values()
+            .filter(|track| track.calls > fair)
+            .all(Track::is_proven)
+    }
+
+    /// How near the highest alarm is, from 0 to 1.
+    #[must_use]
+    pub fn suspicion(&self) -> f64 {
+        let streams = self.streams();
+        self.tracks()
+            .map(|(_, track)| track.alarm(streams))
+            .fold(0.0, f64::max)
+    }
+
+    /// Whether the version was proven at any share.
+    #[must_use]
+    pub fn was_proven(&self) -> bool {
+        self.was_proven
+    }
+
+    /// Calls that the new version had in the window.
+    #[must_use]
+    pub fn new_calls(&self) -> u64 {
+        self.total.new_calls
+    }
+
+    /// Calls that both versions had in the window.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.total.calls
+    }
+
+    fn badness(&self) -> Option<Badness> {
+        let streams = self.streams();
+        self.tracks().find_map(|(route, track)| {
+            let fault = track.fault(streams)?;
+            Some(Badness {
+                fault,
+                route: route.cloned(),
+                calls: track.new_calls,
+            })
+        })
+    }
+
+    /// Routes first, since they tell more.
+    fn tracks(&self) -> impl Iterator<Item = (Option<&RoutePrefix>, &Track)> {
+        let routes = self
+            .routes
+            .iter()
+            .map(|(route, track)| (Some(route), track));
+        // With one route, the total says the same.
+        let total = (self.routes.len() != 1).then_some((None, &self.total));
+        total.into_iter().chain(routes)
+    }
+
+    fn streams(&self) -> usize {
+        STREAMS_PER_TRACK * (self.routes.len() + 1)
+    }
+}
+
+impl Track {
+    fn observe(&mut self, batch: &Pair) {
+        self.reference.add(&batch.old);
+        self.calls += batch.old.calls() + batch.new.calls();
+        self.new_calls += batch.new.calls();
+        let expected = self.reference.failure_rate();
+        self.failures.observe(Batch {
+            hits: batch.new.failed,
+            calls: batch.new.calls(),
+            expected,
+            bad: bad_rate(expected, BAD_FAILURE_MARGIN),
+        });
+        let Some(slow) = self.reference.slowness() else {
+            return;
+        };
+        self.slowness.observe(Batch {
+            hits: batch.new.slower[slow.step],
+            calls: batch.new.timed,
+            expected: slow.rate,
+            bad: bad_rate(slow.rate, BAD_SLOW_MARGIN),
+        });
+    }
+
+    fn restart_proof(&mut self) {
+        self.failures.restart_proof();
+        self.slowness.restart_proof();
+    }
+
+    fn fault(&self, streams: usize) -> Option<Fault> {
+        if self.failures.alarm(streams) >= 1.0 {
+            return Some(Fault::Fails);
+        }
+        (self.slowness.alarm(streams) >= 1.0).then_some(Fault::Slow)
+    }
+
+    fn alarm(&self, streams: usize) -> f64 {
+        self.failures
+            .alarm(streams)
+            .max(self.slowness.alarm(streams))
+    }
+
+    fn is_proven(&self) -> bool {
+        self.failures.is_proven() && self.slowness.is_proven()
+    }
+
+    /// Calls without a fault that would complete both proofs.
+    fn calls_needed(&self) -> u64 {
+        let expected = self.reference.failure_rate();
+        let failures = self
+            .failures
+            .calls_needed(expected, bad_rate(expected, BAD_FAILURE_MARGIN));
+        let expected = self.reference.slowness().map_or(0.1, |slow| slow.rate);
+        let slowness = self
+            .slowness
+            .calls_needed(expected, bad_rate(expected, BAD_SLOW_MARGIN));
+        failures.max(slowness)
+    }
+}
+
+impl fmt::Display for Badness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fault = match self.fault {
+            Fault::Fails => "calls fail",
+            Fault::Slow => "calls are slow",
+        };
+        match &self.route {
+            Some(route) => write!(f, "{fault} on {route}, after {} calls", self.calls),
+            None => write!(f, "{fault}, after {} calls", self.calls),
+        }
+    }
+}
+
+fn bad_rate(expected: f64, margin: f64) -> f64 {
+    (expected + margin)
+        .min(f64::midpoint(expected, 1.0))
+        .min(BAD_CEILING)
+}
--- /dev/null
+++ b/crates/rollout/src/policy.rs
@@ -0,0 +1,30 @@
+//! Written defaults of the move policy for each customer.
+
+use std::time::Duration;
+
+use ledger::MovePolicy;
+use ledger::Preference;
+
+/// Tanoa's default: a version that could not be judged ends late rather than unproven, since a
+/// doubled or lost booking costs more than a late cut-over.
+#[must_use]
+pub fn tanoa() -> MovePolicy {
+    MovePolicy {
+        prefer: Preference::Safety,
+        probe_share: 50,
+        probe_calls: 200,
+        watch: Duration::from_mins(1),
+    }
+}
+
+/// Glykotheke's default: the cut-over happens by the ticket's time. Where too few calls come in
+/// by night, the move goes on in small steps, as long as no alarm is near.
+#[must_use]
+pub fn glykotheke() -> MovePolicy {
+    MovePolicy {
+        prefer: Preference::OnTime,
+        probe_share: 50,
+        probe_calls: 200,
+        watch: Duration::from_mins(2),
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/sequential.rs
@@ -0,0 +1,101 @@
+//! Sequential tests on a stream of hits and misses.
+//!
+//! Two statistics run on each stream. The alarm is a cumulative sum of log likelihood ratios of
+//! several worse rates against the expected one; it never falls below zero, so a fault that
+//! begins late is found as soon as one that was there from the start. The proof is a Wald test
+//! of the expected rate against a bad one.
+
+/// Largest probability that one move of a good version is taken back, over
+/// [`JUDGED_BATCHES`] batches of evidence.
+pub const FALSE_TAKE_BACK: f64 = 0.001;
+
+/// Largest probability that a version which is bad by the proof's margin is proven.
+pub const MISSED_BAD: f64 = 0.01;
+
+/// Batches of evidence, one a second, over which [`FALSE_TAKE_BACK`] holds.
+pub const JUDGED_BATCHES: f64 = 1_000.0;
+
+/// Worse rates that the alarm looks for, as parts of the way from the expected rate to 1.
+const ALTERNATIVES: [f64; 4] = [0.04, 0.15, 0.5, 0.9];
+
+/// The proof is capped at this multiple of its threshold, so that it falls soon when calls fail.
+const PROOF_CAP: f64 = 2.0;
+
+/// State of the tests on one stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Detector {
+    alarms: [f64; ALTERNATIVES.len()],
+    proof: f64,
+}
+
+/// One batch of a stream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Batch {
+    /// Calls that failed or were slow.
+    pub(crate) hits: u64,
+    /// All calls.
+    pub(crate) calls: u64,
+    /// Expected rate of hits, above 0 and below 1.
+    pub(crate) expected: f64,
+    /// Rate of hits that is bad without doubt.
+    pub(crate) bad: f64,
+}
+
+impl Detector {
+    /// Takes a batch in.
+    pub(crate) fn observe(&mut self, batch: Batch) {
+        let expected = batch.expected;
+        for (alarm, part) in self.alarms.iter_mut().zip(ALTERNATIVES) {
+            let worse = expected + (1.0 - expected) * part;
+            *alarm = (*alarm + batch.log_ratio(worse, expected)).max(0.0);
+        }
+        let proof = self.proof + batch.log_ratio(expected, batch.bad);
+        self.proof = proof.min(PROOF_CAP * proof_threshold());
+    }
+
+    /// Forgets the proof, so that the next step needs one of its own.
+    pub(crate) fn restart_proof(&mut self) {
+        self.proof = 0.0;
+    }
+
+    /// How near the alarm is, from 0 to 1 and above.
+    ///
+    /// `streams` is the number of streams that share [`FALSE_TAKE_BACK`].
+    pub(crate) fn alarm(&self, streams: usize) -> f64 {
+        let highest = self.alarms.iter().copied().fold(0.0, f64::max);
+        highest / alarm_threshold(streams)
+    }
+
+    /// Whether the stream's rate is proven to be below the bad one.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.proof >= proof_threshold()
+    }
+
+    /// Calls without a hit that would complete the proof.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(crate) fn calls_needed(&self, expected: f64, bad: f64) -> u64 {
+        let missing = (proof_threshold() - self.proof).max(0.0);
+        let gain = ((1.0 - expected) / (1.0 - bad)).ln();
+        (missing / gain).ceil() as u64
+    }
+}
+
+impl Batch {
+    /// Log of how much likelier the batch is at rate `a` than at rate `b`.
+    #[allow(clippy::cast_precision_loss)]
+    fn log_ratio(&self, a: f64, b: f64) -> f64 {
+        let hits = self.hits as f64;
+        let misses = self.calls.saturating_sub(self.hits) as f64;
+        hits * (a / b).ln() + misses * ((1.0 - a) / (1.0 - b)).ln()
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn alarm_threshold(streams: usize) -> f64 {
+    let tests = streams as f64 * ALTERNATIVES.len() as f64;
+    (tests * JUDGED_BATCHES / FALSE_TAKE_BACK).ln()
+}
+
+fn proof_threshold() -> f64 {
+    -MISSED_BAD.ln()
+}
--- /dev/null
+++ b/crates/rollout/src/tests/lease.rs
@@ -0,0 +1,71 @@
+//! The lease on an unproven share.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use protocol::feed::Lease;
+
+use crate::lease::Heard;
+use crate::lease::LEASE_LIFE;
+use crate::lease::LeaseWatch;
+
+/// What comes in, after how many seconds, and whether the lease is fresh then.
+enum Event {
+    Lease(u64, u64, Heard),
+    Passed(u64),
+    Nothing,
+}
+
+fn check(name: &str, events: &[(u64, Event, bool)]) {
+    let origin = Instant::now();
+    let mut watch = LeaseWatch::default();
+    for (second, event, is_fresh) in events {
+        let now = origin + Duration::from_secs(*second);
+        match event {
+            Event::Lease(epoch, sequence, heard) => {
+                let lease = Lease {
+                    epoch: *epoch,
+                    sequence: *sequence,
+                };
+                assert_eq!(watch.heard(lease, now), *heard, "{name} at {second} s");
+            }
+            Event::Passed(epoch) => watch.passed(*epoch),
+            Event::Nothing => {}
+        }
+        assert_eq!(watch.is_fresh(now), *is_fresh, "{name} at {second} s");
+    }
+}
+
+#[test]
+fn lease_lives_by_renewals_of_the_newest_epoch_alone() {
+    let life = LEASE_LIFE.as_secs();
+    check(
+        "renewed, then silent",
+        &[
+            (0, Event::Lease(1, 1, Heard::First), false),
+            (1, Event::Lease(1, 2, Heard::Renewed), true),
+            (life, Event::Nothing, true),
+            (1 + life, Event::Nothing, false),
+        ],
+    );
+    check(
+        "the last lease of a dead holder, heard by a joiner",
+        &[
+            (0, Event::Lease(3, 57, Heard::First), false),
+            (1, Event::Lease(3, 57, Heard::Stale), false),
+        ],
+    );
+    check(
+        "a paused holder wakes after its epoch was passed",
+        &[
+            (0, Event::Lease(1, 1, Heard::First), false),
+            (1, Event::Lease(1, 2, Heard::Renewed), true),
+            (9, Event::Passed(2), false),
+            (10, Event::Lease(1, 3, Heard::Stale), false),
+            (11, Event::Lease(1, 4, Heard::Stale), false),
+            (12, Event::Lease(2, 1, Heard::First), false),
+            (13, Event::Lease(2, 2, Heard::Renewed), true),
+            (14, Event::Lease(1, 99, Heard::Stale), true),
+        ],
+    );
+}
--- /dev/null
+++ b/crates/rollout/src/tests/plan.rs
@@ -0,0 +1,180 @@
+//! The plan of steps.
+
+use std::time::Duration;
+
+use base::Share;
+use ledger::MovePolicy;
+use ledger::Phase;
+
+use crate::judge::Verdict;
+use crate::plan;
+use crate::plan::Capacity;
+use crate::plan::EvidenceView;
+use crate::plan::Next;
+use crate::plan::Situation;
+use crate::policy;
+use crate::tests::fixture::SERVICE;
+use crate::tests::fixture::state;
+
+/// Time of the ticket and of its deadline, in seconds, and how the plan looks at a move.
+struct Case {
+    policy: MovePolicy,
+    share: Share,
+    in_step: u64,
+    now: u64,
+    finish_by: Option<u64>,
+    view: EvidenceView,
+    capacity: Capacity,
+}
+
+fn case(share: Share) -> Case {
+    Case {
+        policy: policy::tanoa(),
+        share,
+        in_step: 30,
+        now: 30,
+        finish_by: None,
+        view: EvidenceView {
+            verdict: Verdict::Good,
+            was_proven: true,
+            are_routes_proven: true,
+            suspicion: 0.0,
+            new_calls: 100,
+            rate: 10.0,
+        },
+        capacity: Capacity {
+            old_slots: 80,
+            new_slots: 80,
+            in_flight: 20,
+        },
+    }
+}
+
+fn unproven(share: Share) -> Case {
+    let mut case = case(share);
+    case.view.verdict = Verdict::Undecided { calls_needed: 50 };
+    case.view.was_proven = false;
+    case
+}
+
+fn check(name: &str, case: &Case, want: Option<Share>) {
+    let state = state(case.share);
+    let mut moving = state.services[SERVICE].moving.clone().unwrap();
+    moving.finish_by = case.finish_by.map(|second| second * 1000);
+    let cx = Situation {
+        moving: &moving,
+        policy: &case.policy,
+        view: &case.view,
+        capacity: case.capacity,
+        in_step: Duration::from_secs(case.in_step),
+        now: case.now * 1000,
+    };
+    let want = match want {
+        Some(share) => Next::Step(share),
+        None => Next::Hold {
+            until: case.now * 1000 + 1000,
+        },
+    };
+    assert_eq!(plan::next(&cx), want, "{name}");
+}
+
+#[test]
+fn first_step_is_capped_by_share_and_calls() {
+    check("share", &case(0), Some(50));
+    let mut busy = case(0);
+    busy.view.rate = 5_000.0;
+    check("calls", &busy, Some(5));
+    let mut early = case(0);
+    early.in_step = 1;
+    check("rate not yet measured", &early, None);
+    let mut cold = case(0);
+    cold.capacity.new_slots = 0;
+    check("no warm instance", &cold, None);
+}
+
+#[test]
+fn share_stays_within_what_warm_slots_carry() {
+    let mut few = case(200);
+    few.capacity.new_slots = 8;
+    check("8 slots for 20 running calls", &few, Some(320));
+    let mut full = case(320);
+    full.capacity.new_slots = 8;
+    check("at the limit", &full, None);
+}
+
+#[test]
+fn unproven_share_waits_for_safety_and_goes_on_for_the_time() {
+    check("safety holds", &unproven(50), None);
+    let mut late = unproven(50);
+    late.finish_by = Some(31);
+    check("safety holds at the deadline", &late, None);
+
+    let on_time = |now, suspicion| {
+        let mut case = unproven(50);
+        case.policy = policy::glykotheke();
+        case.finish_by = Some(300);
+        case.now = now;
+        case.view.suspicion = suspicion;
+        case
+    };
+    check("its step has not come", &on_time(10, 0.0), None);
+    check("its step has come", &on_time(200, 0.0), Some(75));
+    check("an alarm is near", &on_time(200, 0.6), None);
+}
+
+#[test]
+fn proven_share_grows_faster_when_time_is_short() {
+    let due = |finish_by| {
+        let mut case = case(50);
+        case.finish_by = Some(finish_by);
+        case.in_step = 10;
+        case
+    };
+    check("far deadline", &due(600), None);
+    check("near deadline", &due(70), Some(100));
+    check("nearest deadline", &due(40), Some(200));
+    let mut gated = case(200);
+    gated.view.are_routes_proven = false;
+    check("a route is not proven", &gated, Some(250));
+    let mut suspicious = case(200);
+    suspicious.view.suspicion = 0.6;
+    check("an alarm is near", &suspicious, None);
+}
+
+#[test]
+fn spent_probe_ends_the_move_for_safety() {
+    let mut spent = unproven(50);
+    spent.view.new_calls = 200;
+    let state = state(50);
+    let cx = Situation {
+        moving: state.services[SERVICE].moving.as_ref().unwrap(),
+        policy: &spent.policy,
+        view: &spent.view,
+        capacity: spent.capacity,
+        in_step: Duration::from_secs(30),
+        now: 0,
+    };
+    assert_eq!(
+        plan::next(&cx),
+        Next::TakeBack("not proven within 200 calls".into())
+    );
+}
+
+#[test]
+fn watch_ends_after_its_time() {
+    let state = state(1000);
+    let mut moving = state.services[SERVICE].moving.clone().unwrap();
+    moving.phase = Phase::Watching(0);
+    let case = case(1000);
+    let mut cx = Situation {
+        moving: &moving,
+        policy: &case.policy,
+        view: &case.view,
+        capacity: case.capacity,
+        in_step: Duration::from_secs(59),
+        now: 0,
+    };
+    assert_eq!(plan::next(&cx), Next::Hold { until: 1000 });
+    cx.in_step = Duration::from_mins(1);
+    assert_eq!(plan::next(&cx), Next::Finish);
+}
--- /dev/null
+++ b/crates/rollout/src/tracker.rs
@@ -0,0 +1,152 @@
+//! What the controller knows of one service: its judge, the rate of calls and the time in step.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::ServiceName;
+use base::Share;
+use base::TicketNumber;
+use base::VersionName;
+use ledger::Phase;
+use ledger::Service;
+
+use crate::controller::Slots;
+use crate::evidence::Window;
+use crate::judge::Judge;
+use crate::plan::Capacity;
+use crate::plan::EvidenceView;
+
+/// Weight of the latest tick in the rate of calls.
+const RATE_WEIGHT: f64 = 0.3;
+
+/// The two versions that are compared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Comparison {
+    /// Ticket that asked for the new version.
+    pub(crate) ticket: TicketNumber,
+    /// Version that calls go back to.
+    pub(crate) old: VersionName,
+    /// Version that is judged.
+    pub(crate) new: VersionName,
+}
+
+/// State of one comparison.
+#[derive(Debug, Clone)]
+pub(crate) struct Tracker {
+    pub(crate) comparison: Comparison,
+    pub(crate) judge: Judge,
+    step: Step,
+    since: Instant,
+    rate: f64,
+    observed: Option<Instant>,
+    in_flight: u64,
+}
+
+/// How far the move was when it was last looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Step {
+    share: Share,
+    is_watching: bool,
+}
+
+impl Comparison {
+    /// The comparison of a service whose move is under way or has ended well.
+    pub(crate) fn of(service: &Service) -> Option<Self> {
+        if let Some(moving) = &service.moving {
+            return Some(Self {
+                ticket: moving.ticket,
+                old: service.stable.clone(),
+                new: moving.to.clone(),
+            });
+        }
+        Some(Self {
+            ticket: service.ticket,
+            old: service.previous.clone()?,
+            new: service.stable.clone(),
+        })
+    }
+
+    /// Whether the same versions are compared, be it for another ticket.
+    pub(crate) fn is_same_pair(&self, other: &Self) -> bool {
+        self.old == other.old && self.new == other.new
+    }
+}
+
+impl Tracker {
+    pub(crate) fn new(comparison: Comparison, service: &Service, now: Instant) -> Self {
+        Self {
+            comparison,
+            judge: Judge::default(),
+            step: Step::of(service),
+            since: now,
+            rate: 0.0,
+            observed: None,
+            in_flight: 0,
+        }
+    }
+
+    /// Takes in the window as it stands now.
+    pub(crate) fn observe(&mut self, service: &Service, window: &Window, now: Instant) {
+        let step = Step::of(service);
+        if step != self.step {
+            self.step = step;
+            self.since = now;
+            self.judge.restart_proof();
+        }
+        let before = self.judge.calls();
+        self.judge.observe(window);
+        self.in_flight = window.in_flight;
+        self.measure_rate(self.judge.calls() - before, now);
+    }
+
+    pub(crate) fn view(&self) -> EvidenceView {
+        EvidenceView::new(&self.judge, self.rate)
+    }
+
+    pub(crate) fn in_step(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    pub(crate) fn capacity(&self, service: &ServiceName, slots: &Slots) -> Capacity {
+        let of = |version: &VersionName| {
+            let key = (service.clone(), version.clone());
+            slots.get(&key).copied().unwrap_or_default()
+        };
+        Capacity {
+            old_slots: of(&self.comparison.old),
+            new_slots: of(&self.comparison.new),
+            in_flight: self.in_flight,
+        }
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn measure_rate(&mut self, calls: u64, now: Instant) {
+        let last = self.observed.replace(now);
+        let Some(elapsed) = last.map(|last| now.saturating_duration_since(last)) else {
+            return;
+        };
+        if elapsed.is_zero() {
+            return;
+        }
+        let rate = calls as f64 / elapsed.as_secs_f64();
+        if self.rate == 0.0 {
+            self.rate = rate;
+        }
+        self.rate += (rate - self.rate) * RATE_WEIGHT;
+    }
+}
+
+impl Step {
+    fn of(service: &Service) -> Self {
+        let Some(moving) = &service.moving else {
+            return Self {
+                share: base::FULL_SHARE,
+                is_watching: true,
+            };
+        };
+        Self {
+            share: moving.share,
+            is_watching: matches!(moving.phase, Phase::Watching(_)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/trial/measure.rs
@@ -0,0 +1,104 @@
+//! Measurements over many trials, for benchmarks.
+
+use std::fmt;
+
+use crate::trial::Behaviour;
+use crate::trial::Ending;
+use crate::trial::Outcome;
+use crate::trial::Trial;
+
+/// What many trials of one kind of version gave.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// What the new version does.
+    pub behaviour: Behaviour,
+    /// Trials.
+    pub trials: u32,
+    /// Moves that were done.
+    pub done: u32,
+    /// Moves that were done by the ticket's time.
+    pub on_time: u32,
+    /// Moves that were taken back.
+    pub taken_back: u32,
+    /// Of those, the ones that spent their probe calls unproven, without an alarm.
+    pub unproven: u32,
+    /// Calls on the faulty version up to its take-back, sorted.
+    pub calls: Vec<u64>,
+    /// Ticks of a second from the first faulty call to the take-back in force, sorted.
+    pub ticks: Vec<u32>,
+}
+
+/// Runs `trials` trials with seeds that follow from that of `base`.
+#[must_use]
+pub fn measure(base: &Trial, trials: u32) -> Row {
+    let mut row = Row::new(base.behaviour);
+    for index in 0..trials {
+        let trial = Trial {
+            seed: base.seed.wrapping_mul(1_000_003) + u64::from(index),
+            ..base.clone()
+        };
+        row.add(&trial.run());
+    }
+    row.calls.sort_unstable();
+    row.ticks.sort_unstable();
+    row
+}
+
+impl Row {
+    fn new(behaviour: Behaviour) -> Self {
+        Self {
+            behaviour,
+            trials: 0,
+            done: 0,
+            on_time: 0,
+            taken_back: 0,
+            unproven: 0,
+            calls: Vec::new(),
+            ticks: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, outcome: &Outcome) {
+        self.trials += 1;
+        match &outcome.ending {
+            Ending::Done { is_on_time, .. } => {
+                self.done += 1;
+                self.on_time += u32::from(*is_on_time);
+            }
+            Ending::TakenBack { reason } => {
+                self.taken_back += 1;
+                self.unproven += u32::from(reason.starts_with("not proven"));
+                self.calls.push(outcome.calls_since_fault);
+                self.ticks.push(outcome.ticks_since_fault);
+            }
+            Ending::Open => {}
+        }
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?}: {} trials, {} done, {} on time, {} taken back ({} unproven), calls {}/{}/{}, ticks {}/{}/{}",
+            self.behaviour,
+            self.trials,
+            self.done,
+            self.on_time,
+            self.taken_back,
+            self.unproven,
+            at(&self.calls, 50),
+            at(&self.calls, 99),
+            at(&self.calls, 100),
+            at(&self.ticks, 50),
+            at(&self.ticks, 99),
+            at(&self.ticks, 100),
+        )
+    }
+}
+
+/// The percentile of sorted values; 0 when there are none.
+fn at<T: Copy + Default>(sorted: &[T], percent: usize) -> T {
+    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(index).copied().unwrap_or_default()
+}
