Run trials of moves over the ledger's fold

The trials had a stand-in for it, which knew less than the fold does about ends of moves and late take-backs.

Change: trials publish two tickets and append their records to a real state. The controller writes down a take-back only while it would still change the state, by the tickets that asked for the version; a take-back that the fold would pass over was repeated for good before.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -265,7 +265,8 @@
                 service: name.clone(),
                 reason,
             };
-            if self.outbox.put(take_back_entry(&fact, now.wall)) {
+            let is_open = is_open(view.state, &fact);
+            if is_open && self.outbox.put(take_back_entry(&fact, now.wall)) {
                 actions.push(Action::SpreadFact(fact));
             }
         }
@@ -383,9 +384,11 @@
         .services
         .values()
         .filter_map(|service| service.moving.as_ref())
-        .any(|moving| moving.ticket == fact.ticket);
+        .any(|moving| moving.asked().contains(fact.ticket));
     let is_late = state.services.get(&fact.service).is_some_and(|service| {
-        service.moving.is_none() && service.ticket == fact.ticket && service.previous.is_some()
+        service.moving.is_none()
+            && service.previous.is_some()
+            && service.stable_asked.contains(fact.ticket)
     });
     is_moving || is_late
 }
--- a/crates/rollout/src/tests/controller.rs
+++ b/crates/rollout/src/tests/controller.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use base::DaemonId;
+use ledger::Asked;
 use ledger::Entry;
 use ledger::Record;
 use ledger::State;
@@ -270,6 +271,10 @@
     service.moving = None;
     service.previous = Some(OLD.into());
     service.stable = NEW.into();
+    service.stable_asked = Asked {
+        first: TICKET,
+        last: TICKET,
+    };
     let mut bench = Bench::holding(state);
     bench.hear_failures(1, 50);
     assert!(has_fact(&bench.after(1)));
--- a/crates/rollout/src/tracker.rs
+++ b/crates/rollout/src/tracker.rs
@@ -60,7 +60,7 @@
             });
         }
         Some(Self {
-            ticket: service.ticket,
+            ticket: service.stable_asked.last,
             old: service.previous.clone()?,
             new: service.stable.clone(),
         })
--- a/crates/rollout/src/trial.rs
+++ b/crates/rollout/src/trial.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base::FULL_SHARE;
 use base::UnixMillis;
+use ledger::MoveEnd;
 use ledger::MovePolicy;
 use ledger::Record;
 use ledger::State;
@@ -150,6 +150,8 @@
     reports: Vec<EvidenceReport>,
     records: Vec<Record>,
     facts: Vec<TakeBackFact>,
+    /// Time of the last step.
+    stepped: UnixMillis,
     outcome: Outcome,
 }
 
@@ -159,13 +161,14 @@
         Self {
             trial,
             calls: Calls::new(trial),
-            state: fleet::state(trial.policy.clone(), START, finish_by),
+            state: fleet::state(&trial.policy, START, finish_by),
             controller: Controller::new(fleet::CONTROLLER.into(), 0),
             lease: LeaseWatch::default(),
             origin: Instant::now(),
             reports: Vec::new(),
             records: Vec::new(),
             facts: Vec::new(),
+            stepped: START,
             outcome: Outcome {
                 ending: Ending::Open,
                 calls: 0,
@@ -190,20 +193,17 @@
     }
 
     fn apply_records(&mut self, tick: u32) -> Progress {
-        let now = wall(tick);
         for record in std::mem::take(&mut self.records) {
-            if let Record::TakeBack { reason, .. } = &record {
-                let reason = reason.to_string();
-                self.outcome.ending = Ending::TakenBack { reason };
-                return Progress::Ended;
-            }
-            let ended = fleet::apply(&mut self.state, &record, now);
-            if let Some(full_at) = ended {
-                self.outcome.ending = self.done(full_at);
-                return Progress::Ended;
+            if matches!(record, Record::Step { .. }) {
+                self.stepped = wall(tick);
             }
+            fleet::apply(&mut self.state, record, wall(tick));
         }
-        Progress::Running
+        let Some(report) = self.state.ends.back() else {
+            return Progress::Running;
+        };
+        self.outcome.ending = self.ending(&report.end);
+        Progress::Ended
     }
 
     fn run_calls(&mut self, tick: u32) {
@@ -241,15 +241,19 @@
         }
     }
 
-    fn done(&self, full_at: UnixMillis) -> Ending {
-        let after = full_at.saturating_sub(START);
-        let is_on_time = self
-            .trial
-            .finish_within
-            .is_none_or(|time| after <= millis(time));
-        Ending::Done {
-            full_at: u32::try_from(after / millis(TICK)).unwrap_or(u32::MAX),
+    fn ending(&self, end: &MoveEnd) -> Ending {
+        let full_at = (self.stepped - START) / millis(TICK);
+        let done = |is_on_time| Ending::Done {
+            full_at: u32::try_from(full_at).unwrap_or(u32::MAX),
             is_on_time,
+        };
+        match end {
+            MoveEnd::Done => done(true),
+            MoveEnd::DoneLate { .. } => done(false),
+            MoveEnd::TakenBack { reason } => Ending::TakenBack {
+                reason: reason.to_string(),
+            },
+            MoveEnd::Superseded { .. } => Ending::Open,
         }
     }
 }
@@ -264,14 +268,9 @@
 /// Applies a record to a state as the fold does.
 #[cfg(test)]
 pub(crate) fn fold(state: &mut State, record: &Record) {
-    fleet::apply(state, record, START);
+    fleet::apply(state, record.clone(), START);
 }
 
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Whether the share is the full one.
-pub(crate) fn is_full(share: u16) -> bool {
-    share >= FULL_SHARE
-}
--- a/crates/rollout/src/trial/fleet.rs
+++ b/crates/rollout/src/trial/fleet.rs
@@ -3,51 +3,51 @@
 use std::collections::BTreeMap;
 
 use base::Share;
+use base::TicketNumber;
 use base::UnixMillis;
-use ledger::Move;
+use ledger::Entry;
 use ledger::MovePolicy;
-use ledger::Phase;
 use ledger::Record;
-use ledger::Service;
+use ledger::ServiceSpec;
+use ledger::StampedRecord;
 use ledger::State;
+use ledger::Ticket;
+use smol_str::format_smolstr;
 
 use crate::controller::Slots;
-use crate::trial::is_full;
 
 pub(crate) const CONTROLLER: &str = "suva-a-1";
 pub(crate) const SERVICE: &str = "bookings";
 pub(crate) const OLD: &str = "v1";
 pub(crate) const NEW: &str = "v2";
 pub(crate) const INSTANCES: usize = 4;
-const TICKET: u64 = 12;
+const OLD_TICKET: TicketNumber = 11;
+const NEW_TICKET: TicketNumber = 12;
 const SLOTS_PER_INSTANCE: u32 = 20;
 
 /// A state in which the move has just been accepted.
 pub(crate) fn state(
-    policy: MovePolicy,
+    policy: &MovePolicy,
     started: UnixMillis,
     finish_by: Option<UnixMillis>,
 ) -> State {
-    let moving = Move {
-        ticket: TICKET,
-        to: NEW.into(),
-        finish_by,
-        share: 0,
-        started,
-        phase: Phase::Ramping,
-    };
-    let service = Service {
-        stable: OLD.into(),
-        previous: None,
-        ticket: TICKET,
-        policy,
-        moving: Some(moving),
-    };
-    State {
-        ticket: TICKET,
-        services: BTreeMap::from([(SERVICE.into(), service)]),
-        ..State::default()
+    let mut state = State::default();
+    for (number, version) in [(OLD_TICKET, OLD), (NEW_TICKET, NEW)] {
+        let spec = ServiceSpec {
+            version: version.into(),
+            finish_by,
+            policy: policy.clone(),
+        };
+        let ticket = Ticket {
+            ticket: number,
+            services: BTreeMap::from([(SERVICE.into(), spec)]),
+            routes: BTreeMap::new(),
+            remove_services: Vec::new(),
+            remove_routes: Vec::new(),
+        };
+        apply(&mut state, Record::Ticket(ticket), started);
     }
+    state
 }
 
 pub(crate) fn share(state: &State) -> Share {
@@ -65,26 +65,15 @@
     ])
 }
 
-/// Applies a record; gives the time of the full share when the move ends.
-pub(crate) fn apply(state: &mut State, record: &Record, now: UnixMillis) -> Option<UnixMillis> {
-    match record {
-        Record::Claim { epoch, controller } if *epoch == state.epoch + 1 => {
-            state.epoch = *epoch;
-            state.controller = Some(controller.clone());
-            None
-        }
-        Record::Step { share, .. } => {
-            let moving = state.services.get_mut(SERVICE)?.moving.as_mut()?;
-            moving.share = *share;
-            if is_full(*share) {
-                moving.phase = Phase::Watching(now);
-            }
-            None
-        }
-        Record::Finish { .. } => match state.services[SERVICE].moving.as_ref()?.phase {
-            Phase::Watching(since) => Some(since),
-            Phase::Ramping => None,
-        },
-        Record::Ticket(_) | Record::Claim { .. } | Record::TakeBack { .. } => None,
-    }
+/// Folds a record in, as if it had just been appended.
+pub(crate) fn apply(state: &mut State, record: Record, at: UnixMillis) {
+    let entry = Entry {
+        id: format_smolstr!("trial/{}", state.next),
+        at,
+        record,
+    };
+    state.apply(&StampedRecord {
+        offset: state.next,
+        entry: Some(entry),
+    });
 }
