Count a version as proven only while no alarm is near

A version that had been proven, stayed in its probe for the planned minute and came near an alarm for a moment was held to its spent budget.

Change: the proof is remembered once it is complete while no alarm is near; from then on the budget of the probe no longer ends the move. Ruled out: leaving the probe faster, which would raise every version's exposure.

--- a/crates/rollout/examples/trials.rs
+++ b/crates/rollout/examples/trials.rs
@@ -9,13 +9,18 @@
 use rollout::trial::Trial;
 use rollout::trial::measure;
 
+/// Trials of each row when no number is given.
 const TRIALS: u32 = 1_000;
 
 fn main() {
+    let trials = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(TRIALS);
     let kinds = std::iter::once(Behaviour::Good).chain(Behaviour::BAD);
     for behaviour in kinds {
         for (name, base) in bases(behaviour) {
-            println!("{name}: {}", measure(&base, TRIALS));
+            println!("{name}: {}", measure(&base, trials));
         }
     }
 }
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -17,6 +17,9 @@
 /// A version with this much more slow calls than expected is bad without doubt.
 pub const BAD_SLOW_MARGIN: f64 = 0.25;
 
+/// Alarm level from which a share no longer grows.
+pub const SUSPICIOUS: f64 = 0.3;
+
 /// Highest rate that counts as bad, so that it stays below 1.
 const BAD_CEILING: f64 = 0.99;
 
@@ -92,7 +95,7 @@
                 .observe(&batch);
         }
         self.last = window.clone();
-        self.was_proven |= self.total.is_proven();
+        self.was_proven |= self.total.is_proven() && self.suspicion() < SUSPICIOUS;
     }
 
     /// Forgets the proof, so that a larger share needs one of its own. Alarms go on.
@@ -136,7 +139,7 @@
             .fold(0.0, f64::max)
     }
 
-    /// Whether the version was proven at any share.
+    /// Whether the version was proven at any share while no alarm was near.
     #[must_use]
     pub fn was_proven(&self) -> bool {
         self.was_proven
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -17,6 +17,7 @@
 use smol_str::format_smolstr;
 
 use crate::judge::Judge;
+use crate::judge::SUSPICIOUS;
 use crate::judge::Verdict;
 
 /// Shortest time between two steps; faults under load need about that long to show.
@@ -56,9 +57,6 @@
 /// Largest share while a busy route is not proven on its own.
 const ROUTE_GATE_SHARE: Share = 250;
 
-/// Alarm level from which a share no longer grows.
-const SUSPICIOUS: f64 = 0.3;
-
 /// Part of the ready slots that may be in use, in thousandths.
 const SLOT_USE: u64 = 800;
 
@@ -84,7 +82,7 @@
 pub struct EvidenceView {
     /// The verdict.
     pub verdict: Verdict,
-    /// Whether the version was proven at this share or a smaller one.
+    /// Whether the version was proven at any share while no alarm was near.
     pub was_proven: bool,
     /// Whether each busy route is proven on its own.
     pub are_routes_proven: bool,
@@ -231,15 +229,13 @@
     }
 
     /// Whether an unproven version had its calls, with those that come before a take-back is in
-    /// force. A suspicious one does not leave the probe, so its calls are limited as well.
+    /// force.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn is_probe_spent(&self) -> bool {
         let share = f64::from(self.moving.share) / f64::from(FULL_SHARE);
         let coming = self.view.rate * share * TAKE_BACK_DELAY.as_secs_f64();
         let calls = self.view.new_calls + coming.ceil() as u64;
-        let is_held = self.is_suspicious() && self.moving.share <= self.policy.probe_share;
-        let is_unproven = is_held || !self.view.was_proven;
-        is_unproven && calls >= u64::from(self.policy.probe_calls)
+        !self.view.was_proven && calls >= u64::from(self.policy.probe_calls)
     }
 
     /// Whether the move goes on although a route is not proven, since its time has come.
