Give the daemon the controller core, its reports and its appends

Cause: the daemon's thin controller counted failures only, stepped by a fixed list and appended with a fresh id at each try.

Change: four small tasks around the pure core: ticks, appends with the health of the log, evidence reports, and the word to the peers. Each send is a task of its own, so that a silent peer delays no other. The first lease of an epoch no longer counts as a renewal, since it may be a dead holder's last one. A daemon that leaves stops to tick, and another one claims.

Ruled out for now: sending the lease through the feed alone, since the feed does not pass it on yet; the holder tells up to 64 peers itself.

Not run yet: tests of several daemons; they follow.

--- a/crates/daemon/src/board.rs
+++ b/crates/daemon/src/board.rs
@@ -1,5 +1,6 @@
 //! What the parts of a daemon publish to each other.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +15,8 @@
 use protocol::announce::Announcement;
 use protocol::feed::Lease;
 use protocol::feed::TakeBackFact;
+use rollout::lease::Heard;
+use rollout::lease::LeaseWatch;
 use routing::Endpoint;
 use routing::Table;
 use settings::Settings;
@@ -27,7 +30,7 @@
     pub me: Rc<Me>,
     /// Folded state; written by the feed.
     pub state: Watch<State>,
-    /// Newest lease heard, and when; merged by the feed and by the controller.
+    /// Newest lease heard, and when it was renewed; merged by the feed and by the controller.
     pub lease: Watch<HeardLease>,
     /// Take-backs, with or without a record; grows only.
     pub facts: Watch<BTreeSet<TakeBackFact>>,
@@ -41,6 +44,7 @@
     pub table: Watch<Table>,
     /// Whether this daemon is leaving.
     pub leaving: Watch<Leaving>,
+    lease_watch: Rc<RefCell<LeaseWatch>>,
 }
 
 /// Who this daemon is.
@@ -65,12 +69,12 @@
     pub zone: ZoneName,
 }
 
-/// A lease and when this daemon first heard it.
+/// A lease and when this daemon last heard a renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeardLease {
     /// The lease.
     pub lease: Lease,
-    /// When it was first heard here; `None` before the first.
+    /// When a renewal was last heard here; `None` before the first.
     pub at: Option<Instant>,
 }
 
@@ -107,19 +111,29 @@
             upstream: Watch::default(),
             table: Watch::default(),
             leaving: Watch::default(),
+            lease_watch: Rc::default(),
         }
     }
 
     /// Takes in a lease; an older one changes nothing.
+    ///
+    /// The first lease of an epoch renews nothing: it may be a dead holder's last one.
     pub fn merge_lease(&self, lease: Lease) {
-        if lease > self.lease.get().lease {
+        let mut watch = self.lease_watch.borrow_mut();
+        if watch.heard(lease, Instant::now()) != Heard::Stale {
             self.lease.set(HeardLease {
-                lease,
-                at: Some(Instant::now()),
+                lease: watch.newest(),
+                at: watch.renewed_at(),
             });
         }
     }
 
+    /// What was heard of the lease.
+    #[must_use]
+    pub fn lease_watch(&self) -> LeaseWatch {
+        self.lease_watch.borrow().clone()
+    }
+
     /// Takes in take-backs; known ones change nothing.
     pub fn merge_facts(&self, facts: impl IntoIterator<Item = TakeBackFact>) {
         let known = self.facts.get();
--- /dev/null
+++ b/crates/daemon/src/control/deciding.rs
@@ -0,0 +1,135 @@
+//! Ticks of the controller core.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use base::DaemonId;
+use base::units::unix_millis;
+use local_sync::mpsc::unbounded;
+use protocol::evidence::EvidenceReport;
+use protocol::feed::TakeBackFact;
+use rollout::controller::Action;
+use rollout::controller::Controller;
+use rollout::controller::Moment;
+use rollout::controller::Slots;
+use rollout::controller::TICK;
+use rollout::controller::View;
+use routing::Endpoint;
+
+use crate::board::Board;
+use crate::board::Leaving;
+use crate::control::appending::Appender;
+use crate::control::spreading::Spreader;
+
+/// Owns the controller core of this daemon.
+pub(super) struct Decider {
+    board: Board,
+    core: Controller,
+    reports: unbounded::Rx<EvidenceReport>,
+    appender: Appender,
+    spreader: Spreader,
+}
+
+impl Decider {
+    pub(super) fn new(
+        board: &Board,
+        reports: unbounded::Rx<EvidenceReport>,
+        appender: Appender,
+        spreader: Spreader,
+    ) -> Self {
+        let me = board.me.settings.daemon.clone();
+        Self {
+            board: board.clone(),
+            core: Controller::new(me, board.me.incarnation),
+            reports,
+            appender,
+            spreader,
+        }
+    }
+
+    /// Ticks until the daemon leaves; then another one claims the epoch.
+    pub(super) async fn run(mut self) {
+        while *self.board.leaving.get() == Leaving::No {
+            self.tick();
+            monoio::time::sleep(TICK).await;
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = Moment {
+            at: Instant::now(),
+            wall: unix_millis(SystemTime::now()),
+        };
+        let actions = self.decide(now);
+        for action in actions {
+            self.act(action);
+        }
+        if self.core.epoch().is_some() {
+            self.appender.check();
+        }
+    }
+
+    fn decide(&mut self, now: Moment) -> Vec<Action> {
+        // What waited during a pause is from before it, so it comes before the tick that
+        // notices the pause.
+        while let Ok(report) = self.reports.try_recv() {
+            self.core.on_report(report);
+        }
+        let state = self.board.state.get();
+        let members = self.members();
+        let facts: Vec<TakeBackFact> = self.board.facts.get().iter().cloned().collect();
+        let view = View {
+            state: &state,
+            members: &members,
+            facts: &facts,
+            slots: &slots(&self.board.endpoints.get()),
+            log: self.appender.health(),
+        };
+        self.core.on_tick(now, &view, &self.board.lease_watch())
+    }
+
+    fn act(&self, action: Action) {
+        match action {
+            Action::Claim { epoch, entry } => {
+                log::info!("control: claiming epoch {epoch}");
+                self.appender.append(entry);
+            }
+            Action::Renew(lease) => {
+                self.board.merge_lease(lease);
+                self.spreader.spread();
+            }
+            Action::Append(entry) => self.appender.append(entry),
+            Action::SpreadFact(fact) => {
+                log::warn!(
+                    "control: taking ticket {} back: {}",
+                    fact.ticket,
+                    fact.reason
+                );
+                self.board.merge_facts([fact]);
+                self.spreader.spread();
+            }
+        }
+    }
+
+    /// Live members; this daemon is one in any case.
+    fn members(&self) -> Vec<DaemonId> {
+        let peers = self.board.peers.get();
+        let mut members: BTreeSet<DaemonId> =
+            peers.iter().map(|peer| peer.daemon.clone()).collect();
+        members.insert(self.board.me.settings.daemon.clone());
+        members.into_iter().collect()
+    }
+}
+
+/// Slots of instances that take calls and are past their cold start.
+fn slots(endpoints: &[Endpoint]) -> Slots {
+    let mut slots = Slots::new();
+    for endpoint in endpoints {
+        if endpoint.is_serving() && endpoint.since.elapsed() >= endpoint.cold_start {
+            let key = (endpoint.service.clone(), endpoint.version.clone());
+            *slots.entry(key).or_default() += endpoint.slots;
+        }
+    }
+    slots
+}
--- /dev/null
+++ b/crates/daemon/src/control/spreading.rs
@@ -0,0 +1,65 @@
+//! Sends the lease and the take-backs to the other daemons.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_edge::Pool;
+use http_edge::Request;
+use protocol::codec;
+use protocol::paths;
+
+use crate::board::Board;
+use crate::control::Message;
+
+/// Longest exchange with one peer; a lease that comes later is overtaken by the next one.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Peers that the holder tells itself; the feed passes the word on to the rest.
+const DIRECT_PEERS: usize = 64;
+
+/// Tells peers, each in a task of its own, so that a silent one delays no other.
+pub(super) struct Spreader {
+    board: Board,
+    pool: Rc<Pool>,
+}
+
+impl Spreader {
+    pub(super) fn new(board: &Board, pool: Pool) -> Self {
+        Self {
+            board: board.clone(),
+            pool: Rc::new(pool),
+        }
+    }
+
+    /// Sends what the board holds now.
+    pub(super) fn spread(&self) {
+        let message = Message::Renewal {
+            lease: self.board.lease.get().lease,
+            facts: self.board.facts.get().iter().cloned().collect(),
+        };
+        let body = codec::encode(&message);
+        let own = self.board.me.settings.listen.peers;
+        let peers = self.board.peers.get();
+        let others = peers.iter().filter(|peer| peer.address != own);
+        for peer in others.take(DIRECT_PEERS) {
+            monoio::spawn(send(Rc::clone(&self.pool), peer.address, body.clone()));
+        }
+    }
+}
+
+/// Sends one message to the control part of another daemon; a lost one is made good by the next.
+pub(super) async fn send(pool: Rc<Pool>, address: SocketAddr, body: Bytes) {
+    let Ok(mut conn) = pool.take(address).await else {
+        return;
+    };
+    let req = Request::post(paths::EVIDENCE, body);
+    match conn.call(req, SEND_TIMEOUT).await {
+        Ok(_) => pool.put(conn),
+        Err(e) => {
+            log::info!("control: no answer from {address}: {e}");
+            conn.close();
+        }
+    }
+}
--- a/crates/protocol/src/evidence.rs
+++ b/crates/protocol/src/evidence.rs
@@ -36,7 +36,7 @@
     pub service: ServiceName,
     /// Version that the counts are about.
     pub version: VersionName,
-    /// Most calls that ran at once on the instance since the report before.
+    /// Calls that ran at once on the instance, as the mean since the report before.
     pub in_flight: u32,
     /// Counts by route.
     pub routes: BTreeMap<RoutePrefix, CallCounts>,
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -42,7 +42,7 @@
 pub struct Window {
     /// Counts by route.
     pub routes: BTreeMap<RoutePrefix, Pair>,
-    /// Most calls that ran at once, over the instances of both versions.
+    /// Calls that lately ran at once, over the instances of both versions.
     pub in_flight: u64,
 }
 
--- a/crates/rollout/src/lease.rs
+++ b/crates/rollout/src/lease.rs
@@ -95,6 +95,12 @@
         Some(now.saturating_duration_since(self.renewed?))
     }
 
+    /// When the last renewal was heard; `None` before the first.
+    #[must_use]
+    pub fn renewed_at(&self) -> Option<Instant> {
+        self.renewed
+    }
+
     /// The newest lease, for those who ask.
     #[must_use]
     pub fn newest(&self) -> Lease {
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -101,7 +101,7 @@
     pub old_slots: u32,
     /// Slots of the new version's live instances that are past their cold start.
     pub new_slots: u32,
-    /// Most calls that lately ran at once on both versions.
+    /// Calls that lately ran at once on both versions.
     pub in_flight: u64,
 }
 
