Answer requests that are on their way when a server closes

A closing server now takes the connections that the system holds for it, and waits a little on each open one for a request that was sent before its client could know of the close. Weighed: leaving it to clients to send again, which they must not do with calls that may run once only.

Seen failing first: a_close_answers_requests_that_are_still_on_their_way, with `called Result::unwrap() on an Err value: Broken("closed before the answer")`.

What is left is a connection that completes between the last look and the listener's end; a socket has no way to refuse just new ones.

--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -2,10 +2,13 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::HeaderValue;
 use http::header::CONNECTION;
@@ -38,6 +41,16 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a closing server waits for a request on an open connection: one that was sent before
+/// its client could know of the close is on its way by then.
+const LINGER: Duration = Duration::from_millis(250);
+
+/// How long a closing server waits for the next connection that the system holds for it.
+const BACKLOG_POLL: Duration = Duration::from_millis(1);
+
+/// How long it takes such connections at most.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
+
 /// How often [`Server::close`] looks whether the last request has ended.
 const CLOSE_POLL: Duration = Duration::from_millis(5);
 
@@ -115,11 +128,13 @@
     }
 
     /// Stops to listen, lets requests under way end within `patience`, and closes.
+    ///
+    /// Requests that are still on their way when this begins are answered too.
     pub async fn close(self, patience: Duration) {
         self.shared.draining.set();
         self.shared.closing.set();
         let all_ended = async {
-            while self.shared.requests.get() > 0 {
+            while self.shared.requests.get() > 0 || self.shared.connections.get() > 0 {
                 monoio::time::sleep(CLOSE_POLL).await;
             }
         };
@@ -136,29 +151,57 @@
 ) {
     loop {
         let accepted = monoio::select! {
-            () = shared.closing.wait() => return,
+            () = shared.closing.wait() => break,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => spawn_connection(stream, &handler, cfg, &shared),
             Err(e) => {
                 log::warn!("http: accept failed: {e}");
                 monoio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        if shared.connections.get() >= cfg.connections {
-            log::warn!("http: too many connections, closed one");
-            continue;
         }
-        let guard = CountGuard::new(&shared, |shared| &shared.connections);
-        let handler = Rc::clone(&handler);
-        let shared = Rc::clone(&shared);
-        monoio::spawn(async move {
-            serve_connection(stream, handler, cfg, shared).await;
-            drop(guard);
-        });
     }
+    // Connections that the system has taken for us would be reset with the listener.
+    let end = Instant::now() + BACKLOG_TIME;
+    while Instant::now() < end {
+        match monoio::time::timeout(BACKLOG_POLL, listener.accept()).await {
+            Ok(Ok((stream, _))) => spawn_connection(stream, &handler, cfg, &shared),
+            _ => break,
+        }
+    }
+    while let Some(stream) = accept_now(&listener).await {
+        spawn_connection(stream, &handler, cfg, &shared);
+    }
+}
+
+/// A connection that waits already; gives no other task a turn, so that the listener can go with
+/// none left.
+async fn accept_now(listener: &TcpListener) -> Option<TcpStream> {
+    let mut accept = std::pin::pin!(listener.accept());
+    match poll_fn(|cx| Poll::Ready(accept.as_mut().poll(cx))).await {
+        Poll::Ready(Ok((stream, _))) => Some(stream),
+        _ => None,
+    }
+}
+
+fn spawn_connection<H: Handler>(
+    stream: TcpStream,
+    handler: &Rc<H>,
+    cfg: ServerCfg,
+    shared: &Rc<Shared>,
+) {
+    if shared.connections.get() >= cfg.connections {
+        log::warn!("http: too many connections, closed one");
+        return;
+    }
+    let guard = CountGuard::new(shared, |shared| &shared.connections);
+    let handler = Rc::clone(handler);
+    let shared = Rc::clone(shared);
+    monoio::spawn(async move {
+        serve_connection(stream, handler, cfg, shared).await;
+        drop(guard);
+    });
 }
 
 type Incoming = Result<Request, RequestFault>;
@@ -269,10 +312,7 @@
         let incoming = if pipelined.is_some() {
             pipelined.take()
         } else {
-            monoio::select! {
-                incoming = rx.recv() => incoming,
-                () = shared.closing.wait() => None,
-            }
+            next_request(&mut rx, &shared).await
         };
         let Some(incoming) = incoming else { return };
         let guard = CountGuard::new(&shared, |shared| &shared.requests);
@@ -292,6 +332,15 @@
     }
 }
 
+/// The next request; `None` when the client has gone, or none came by the end of a close.
+async fn next_request(rx: &mut bounded::Rx<Incoming>, shared: &Shared) -> Option<Incoming> {
+    monoio::select! {
+        incoming = rx.recv() => return incoming,
+        () = shared.closing.wait() => {}
+    }
+    monoio::time::timeout(LINGER, rx.recv()).await.ok()?
+}
+
 enum Next {
     Close,
     Go,
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -102,6 +102,28 @@
     });
 }
 
+#[test]
+fn a_close_answers_requests_that_are_still_on_their_way() {
+    block_on(async {
+        let (server, address) = start(Limits::default());
+        let mut conn = Conn::connect(address, PATIENCE, Limits::default())
+            .await
+            .unwrap();
+        // Connected before the listener goes, and not accepted before the close begins.
+        let mut waiting = std::net::TcpStream::connect(address).unwrap();
+        waiting.set_read_timeout(Some(PATIENCE)).unwrap();
+        waiting.write_all(b"GET /ok HTTP/1.1\r\n\r\n").unwrap();
+        let closed = monoio::spawn(server.close(PATIENCE));
+        monoio::time::sleep(Duration::from_millis(10)).await;
+        let res = conn.call(Request::get("/late"), PATIENCE).await.unwrap();
+        assert_eq!(res.header("connection"), Some("close"));
+        closed.await;
+        let mut answer = String::new();
+        let _ = waiting.read_to_string(&mut answer);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    });
+}
+
 #[test]
 fn bad_requests_are_refused_and_the_server_goes_on() {
     let (tx, rx) = std::sync::mpsc::channel();
