--- /dev/null
+++ b/crates/daemon/src/calls/attempt.rs
@@ -0,0 +1,228 @@
+//! One attempt of a call: sends it, watches for silence, and asks what became of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_edge::CallError;
+use http_edge::Conn;
+use http_edge::ConnectError;
+use http_edge::Request;
+use http_edge::Response;
+use protocol::call::NotRunReason;
+use protocol::call::Outcome;
+use protocol::call::Resolve;
+use protocol::codec;
+use protocol::paths;
+use routing::attempts::Event;
+use routing::attempts::Permit;
+use routing::attempts::Reply;
+use routing::balancer::Failure;
+
+use crate::calls::call::CallCx;
+use crate::calls::call::Sent;
+use crate::calls::wire;
+use crate::calls::wire::Told;
+
+/// Time for the answer to a question that waits for nothing.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Pause between questions to an instance that does not answer.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a look at a silent attempt shows.
+enum Look {
+    /// It waits or runs.
+    Pending,
+    /// Its end is known, so its own connection went silent.
+    Told(Told),
+    /// The instance does not answer on a new connection either.
+    Blind,
+}
+
+/// Sends an attempt and feeds back what became of it, unless it is cancelled.
+pub(super) async fn send(cx: Rc<CallCx>, sent: Sent) {
+    cx.shared.balancer.borrow_mut().started(&sent.endpoint);
+    monoio::select! {
+        () = sent.cancel.wait() => {}
+        event = exchange(&cx, &sent) => cx.tell(event),
+    }
+    cx.shared.balancer.borrow_mut().ended(&sent.endpoint);
+}
+
+async fn exchange(cx: &CallCx, sent: &Sent) -> Event {
+    let Ok(mut conn) = cx.shared.pool.take(sent.endpoint.address).await else {
+        note_failure(cx, sent, Failure::Unreachable);
+        return Event::ConnectFailed(sent.index);
+    };
+    if cx.permit_send(sent.index) == Permit::Stop {
+        conn.close();
+        return Event::ConnectFailed(sent.index);
+    }
+    let began = Instant::now();
+    match watched_call(cx, sent, &mut conn).await {
+        Watched::Replied(Ok(res)) => match wire::read_reply(res, &sent.head.attempt) {
+            Ok(told) => {
+                cx.shared.pool.put(conn);
+                note_latency(cx, sent, &told, began.elapsed());
+                Event::Replied(sent.index, take_in(cx, sent, told))
+            }
+            Err(fault) => {
+                log::error!("calls: closed a connection after a reply: {fault:?}");
+                conn.close();
+                Event::SightLost(sent.index)
+            }
+        },
+        Watched::Replied(Err(e)) => {
+            log::info!("calls: lost sight of an attempt: {e}");
+            conn.close();
+            lose_sight(cx, sent, Failure::Faulty)
+        }
+        Watched::Silent(Some(told)) => {
+            log::warn!(
+                "calls: a connection to {} went silent",
+                sent.endpoint.daemon
+            );
+            conn.close();
+            cx.shared.pool.forget(sent.endpoint.address);
+            Event::Replied(sent.index, take_in(cx, sent, told))
+        }
+        Watched::Silent(None) => {
+            log::warn!("calls: {} went silent", sent.endpoint.daemon);
+            conn.close();
+            lose_sight(cx, sent, Failure::Silent)
+        }
+    }
+}
+
+enum Watched {
+    Replied(Result<Response, CallError>),
+    /// Nothing came; holds what a new connection told about the attempt.
+    Silent(Option<Told>),
+}
+
+/// Awaits the reply, and looks over a new connection whenever it stays away for long.
+async fn watched_call(cx: &CallCx, sent: &Sent, conn: &mut Conn) -> Watched {
+    let inner = wire::inner_request(&cx.req, &sent.head);
+    let silence = cx.shared.board.me.settings.timing.heartbeat;
+    let mut reply = std::pin::pin!(conn.call(inner, sent.head.remaining));
+    loop {
+        let look = async {
+            monoio::time::sleep(silence).await;
+            look(cx, sent).await
+        };
+        monoio::select! {
+            res = &mut reply => return Watched::Replied(res),
+            look = look => match look {
+                Look::Pending => {}
+                Look::Told(told) => return Watched::Silent(Some(told)),
+                Look::Blind => return Watched::Silent(None),
+            },
+        }
+    }
+}
+
+async fn look(cx: &CallCx, sent: &Sent) -> Look {
+    match ask(cx, sent, Duration::ZERO).await {
+        Ok(told) if told.outcome == Outcome::Pending => Look::Pending,
+        Ok(told) => Look::Told(told),
+        Err(_) => Look::Blind,
+    }
+}
+
+fn lose_sight(cx: &CallCx, sent: &Sent, failure: Failure) -> Event {
+    // What else is open to that address may be as dead.
+    cx.shared.pool.forget(sent.endpoint.address);
+    note_failure(cx, sent, failure);
+    Event::SightLost(sent.index)
+}
+
+/// Asks over new connections what became of an attempt, until it is told or the call is over.
+pub(super) async fn resolve(cx: Rc<CallCx>, sent: Sent) {
+    monoio::select! {
+        () = sent.cancel.wait() => {}
+        event = ask_until_told(&cx, &sent) => cx.tell(event),
+    }
+}
+
+/// Each question waits for a while only, so that a silent connection does not cost the whole time.
+async fn ask_until_told(cx: &CallCx, sent: &Sent) -> Event {
+    let longest = cx.shared.board.me.settings.timing.heartbeat;
+    loop {
+        let left = cx.until.saturating_duration_since(Instant::now());
+        match ask(cx, sent, left.min(longest)).await {
+            Ok(told) if told.outcome == Outcome::Pending && !left.is_zero() => {}
+            Ok(told) => return Event::Resolved(sent.index, take_in(cx, sent, told)),
+            Err(AskError::Gone) => return Event::ResolveFailed(sent.index),
+            Err(AskError::Silent) if left.is_zero() => return Event::ResolveFailed(sent.index),
+            Err(AskError::Silent) => monoio::time::sleep(ASK_PAUSE).await,
+        }
+    }
+}
+
+enum AskError {
+    /// Nobody listens there any more, so nobody remembers.
+    Gone,
+    /// No answer in time; a later question may have one.
+    Silent,
+}
+
+async fn ask(cx: &CallCx, sent: &Sent, patience: Duration) -> Result<Told, AskError> {
+    let question = Resolve {
+        attempt: sent.head.attempt.clone(),
+        incarnation: sent.endpoint.incarnation,
+        remaining: patience,
+    };
+    let opened = cx.shared.pool.open(sent.endpoint.address).await;
+    let mut conn = opened.map_err(|e| match e {
+        ConnectError::Refused(_) => AskError::Gone,
+        ConnectError::TimedOut => AskError::Silent,
+    })?;
+    let req = Request::post(paths::RESOLVE, codec::encode(&question));
+    let answer = conn.call(req, patience + ASK_TIMEOUT).await;
+    let res = answer.map_err(|_| AskError::Silent)?;
+    wire::read_reply(res, &sent.head.attempt).map_err(|_| AskError::Silent)
+}
+
+/// Notes what a reply tells about the instance, and keeps the answer.
+fn take_in(cx: &CallCx, sent: &Sent, told: Told) -> Reply {
+    let endpoint = &sent.endpoint;
+    let mut balancer = cx.shared.balancer.borrow_mut();
+    balancer.reported(endpoint, told.load, Instant::now());
+    match told.outcome {
+        Outcome::Answered if told.res.status.is_server_error() => {
+            drop(balancer);
+            note_failure(cx, sent, Failure::Faulty);
+            sent.keep(told.res);
+            Reply::Answered
+        }
+        Outcome::Answered => {
+            balancer.succeeded(endpoint);
+            sent.keep(told.res);
+            Reply::Answered
+        }
+        Outcome::NotRun(not_run) => {
+            if not_run.reason == NotRunReason::Leaving {
+                balancer.refused_as_leaving(endpoint);
+            }
+            Reply::NotRun(not_run)
+        }
+        Outcome::Pending | Outcome::Unknown => Reply::Unknown,
+    }
+}
+
+fn note_latency(cx: &CallCx, sent: &Sent, told: &Told, took: Duration) {
+    if told.outcome == Outcome::Answered {
+        let observe = |extras: &mut super::caller::Extras| extras.hedge.observe(took);
+        cx.shared.with_extras(&sent.head.service, observe);
+    }
+}
+
+fn note_failure(cx: &CallCx, sent: &Sent, failure: Failure) {
+    let table = cx.shared.board.table.get();
+    let siblings = table
+        .service(&sent.head.service)
+        .map_or(&[][..], |service| service.endpoints(&sent.head.version));
+    let mut balancer = cx.shared.balancer.borrow_mut();
+    balancer.failed(&sent.endpoint, siblings, failure, Instant::now());
+}
--- a/crates/daemon/src/calls/caller.rs
+++ b/crates/daemon/src/calls/caller.rs
@@ -1,126 +1,118 @@
 //! Caller side: takes calls from clients and passes them to the daemon beside an upstream.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use base::Share;
+use base::DaemonId;
+use base::FastMap;
+use base::ServiceName;
 use http::StatusCode;
-use http_edge::Conn;
 use http_edge::Handler;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
 use http_edge::Response;
 use ledger::Repeat;
-use protocol::WIRE_VERSION;
 use protocol::call::AttemptId;
 use protocol::call::CALL_ID_HEADER;
-use protocol::call::CallHead;
-use protocol::call::DEADLINE_HEADER;
-use protocol::call::HEAD_HEADER;
-use protocol::call::NotRun;
-use protocol::call::NotRunReason;
-use protocol::call::OUTCOME_HEADER;
-use protocol::call::Outcome;
-use protocol::call::OutcomeHead;
-use protocol::call::Resolve;
-use protocol::codec;
-use protocol::paths;
 use rand::Rng;
+use routing::Balancer;
 use routing::Endpoint;
+use routing::HedgePolicy;
+use routing::RetryBudget;
+use routing::attempts::Final;
+use routing::balancer::BalancerConfig;
+use routing::balancer::Choice;
+use routing::balancer::Draws;
+use routing::budget::RetryBudgetConfig;
 use routing::table::LeaseState;
+use routing::table::ServiceTable;
 
 use crate::board::Board;
+use crate::calls::call::Call;
+use crate::calls::call::Matched;
+use crate::calls::wire;
 
-/// Attempts of one call at most.
-const MAX_ATTEMPTS: usize = 3;
-
-/// When a client may come back after a refusal that names no time.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Calls slower than this part of the latest ones are hedged.
+const HEDGE_QUANTILE: f64 = 0.95;
 
 /// Takes calls from clients.
 pub struct CallerSide {
-    board: Board,
-    pool: Pool,
+    shared: Rc<Shared>,
+}
+
+/// What all calls share.
+pub(super) struct Shared {
+    pub(super) board: Board,
+    pub(super) pool: Pool,
+    pub(super) balancer: RefCell<Balancer>,
+    extras: RefCell<FastMap<ServiceName, Extras>>,
     sequence: Cell<u64>,
 }
 
-enum Ending {
-    Answered(Response),
-    NotRun(NotRun),
-    Unknown,
+/// Limits on extra attempts to one service.
+pub(super) struct Extras {
+    pub(super) budget: RetryBudget,
+    pub(super) hedge: HedgePolicy,
 }
 
 impl CallerSide {
     /// A caller side without connections.
     #[must_use]
     pub fn new(board: &Board) -> Self {
+        let settings = &board.me.settings;
         let cfg = PoolCfg {
-            connect: board.me.settings.timing.connect,
+            connect: settings.timing.connect,
             ..PoolCfg::default()
         };
+        let balancer = Balancer::new(BalancerConfig::default(), settings.zone.clone());
         Self {
-            board: board.clone(),
-            pool: Pool::new(cfg),
-            sequence: Cell::new(0),
+            shared: Rc::new(Shared {
+                board: board.clone(),
+                pool: Pool::new(cfg),
+                balancer: RefCell::new(balancer),
+                extras: RefCell::default(),
+                sequence: Cell::new(0),
+            }),
         }
     }
 
     async fn serve(&self, req: Request) -> Response {
-        let table = self.board.table.get();
+        let table = self.shared.board.table.get();
         let Some(matched) = table.route(req.path()) else {
             return Response::text(StatusCode::NOT_FOUND, "no route");
         };
-        let call = match req.header(CALL_ID_HEADER) {
-            Some(id) => id.into(),
-            None => format!("{:032x}", rand::rng().random::<u128>()).into(),
+        let id = call_id(&req);
+        let limit = matched.route.timeout;
+        let timeout = wire::deadline(&req).map_or(limit, |own| own.min(limit));
+        let matched = Matched {
+            prefix: matched.prefix.clone(),
+            route: matched.route.clone(),
         };
-        let timeout =
-            deadline(&req).map_or(matched.route.timeout, |own| own.min(matched.route.timeout));
         let until = Instant::now() + timeout;
-        let mut ending = Ending::NotRun(not_run(NotRunReason::NoInstance));
-        for _ in 0..MAX_ATTEMPTS {
-            let draw = rand::rng().random_range(0..base::FULL_SHARE);
-            let Some(endpoint) = pick(matched.service, self.lease(), draw) else {
-                break;
-            };
-            let head = CallHead {
-                wire: WIRE_VERSION,
-                attempt: self.next_attempt(),
-                call: smol_str::SmolStr::clone(&call),
-                service: matched.route.service.clone(),
-                version: endpoint.version.clone(),
-                route: matched.prefix.clone(),
-                repeat: matched.route.repeat,
-                class: matched.route.class,
-                remaining: until.saturating_duration_since(Instant::now()),
-                offset: table.offset(),
-            };
-            ending = self.attempt(&req, &head, endpoint).await;
-            let may_go_on = match &ending {
-                Ending::Answered(_) => false,
-                Ending::NotRun(_) => true,
-                Ending::Unknown => head.repeat == Repeat::Idempotent,
-            };
-            if !may_go_on || Instant::now() >= until {
-                break;
-            }
-        }
-        finish(ending).with_header(CALL_ID_HEADER, &call)
+        let call = Call::start(&self.shared, req, id.clone(), matched, until);
+        let (end, answer) = call.finish().await;
+        let res = match (end, answer) {
+            (Final::Answer(_), Some(answer)) => answer,
+            (Final::NotRun(not_run), _) => wire::not_run_response(&not_run),
+            _ => wire::unknown_response(),
+        };
+        res.with_header(CALL_ID_HEADER, &id)
     }
+}
 
-    fn lease(&self) -> LeaseState {
-        let heard = self.board.lease.get();
-        let life = self.board.me.settings.timing.lease;
-        let is_current = heard.lease.epoch >= self.board.state.get().epoch;
-        match heard.at {
-            Some(at) if is_current && at.elapsed() <= life => LeaseState::Fresh,
-            _ => LeaseState::Expired,
-        }
+impl Handler for CallerSide {
+    async fn handle(&self, req: Request) -> Response {
+        self.serve(req).await
     }
+}
 
-    fn next_attempt(&self) -> AttemptId {
+impl Shared {
+    /// Never gives the same one twice.
+    pub(super) fn next_attempt(&self) -> AttemptId {
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
         AttemptId {
@@ -130,131 +122,70 @@
         }
     }
 
-    async fn attempt(&self, req: &Request, head: &CallHead, endpoint: &Endpoint) -> Ending {
-        let Ok(mut conn) = self.pool.take(endpoint.address).await else {
-            return Ending::NotRun(not_run(NotRunReason::Unreachable));
-        };
-        let inner = inner_request(req, head);
-        match conn.call(inner, head.remaining).await {
-            Ok(res) => {
-                self.pool.put(conn);
-                read_reply(res, &head.attempt)
-            }
-            Err(e) => {
-                log::info!("calls: lost sight of an attempt: {e}");
-                conn.close();
-                self.pool.forget(endpoint.address);
-                self.resolve(head, endpoint).await
-            }
-        }
+    /// Runs `f` with the limits on extra attempts to a service.
+    pub(super) fn with_extras<R>(
+        &self,
+        service: &ServiceName,
+        f: impl FnOnce(&mut Extras) -> R,
+    ) -> R {
+        let mut extras = self.extras.borrow_mut();
+        let extras = extras.entry(service.clone()).or_insert_with(|| Extras {
+            budget: RetryBudget::new(RetryBudgetConfig::default(), Instant::now()),
+            hedge: HedgePolicy::new(HEDGE_QUANTILE),
+        });
+        f(extras)
     }
 
-    /// Asks over a new connection what became of an attempt.
-    async fn resolve(&self, head: &CallHead, endpoint: &Endpoint) -> Ending {
-        let resolve = Resolve {
-            attempt: head.attempt.clone(),
-            incarnation: endpoint.incarnation,
-            remaining: self.board.me.settings.timing.connect,
-        };
-        let Ok(mut conn) = self.pool.open(endpoint.address).await else {
-            return Ending::Unknown;
-        };
-        let req = Request::post(paths::RESOLVE, codec::encode(&resolve));
-        match ask(&mut conn, req).await {
-            Some(res) => read_reply(res, &head.attempt),
-            None => Ending::Unknown,
+    /// Time after which an idempotent call may be hedged.
+    pub(super) fn hedge_delay(&self, service: &ServiceName, repeat: Repeat) -> Option<Duration> {
+        match repeat {
+            Repeat::AtMostOnce => None,
+            Repeat::Idempotent => self.with_extras(service, |extras| extras.hedge.delay()),
         }
     }
-}
 
-impl Handler for CallerSide {
-    async fn handle(&self, req: Request) -> Response {
-        self.serve(req).await
+    /// Chooses an instance in the version's order, past those that were tried.
+    pub(super) fn choose(&self, service: &str, tried: &[DaemonId]) -> Option<Endpoint> {
+        let table = self.board.table.get();
+        let service = table.service(service)?;
+        let mut rng = rand::rng();
+        let draw = rng.random_range(0..base::FULL_SHARE);
+        let draws = Draws(rng.random(), rng.random());
+        self.choose_in(service, tried, draw, draws)
     }
-}
-
-async fn ask(conn: &mut Conn, req: Request) -> Option<Response> {
-    conn.call(req, Duration::from_secs(1)).await.ok()
-}
-
-fn pick(
-    service: &routing::table::ServiceTable,
-    lease: LeaseState,
-    draw: Share,
-) -> Option<&Endpoint> {
-    let order = service.versions_in_order(lease, draw);
-    order.iter().find_map(|version| {
-        let serving: Vec<_> = service
-            .endpoints(version)
-            .iter()
-            .filter(|endpoint| endpoint.is_serving())
-            .collect();
-        if serving.is_empty() {
-            return None;
-        }
-        Some(serving[rand::rng().random_range(0..serving.len())])
-    })
-}
-
-fn deadline(req: &Request) -> Option<Duration> {
-    let millis = req.header(DEADLINE_HEADER)?.parse().ok()?;
-    Some(Duration::from_millis(millis))
-}
-
-fn inner_request(req: &Request, head: &CallHead) -> Request {
-    let mut inner = req.clone();
-    inner.target = format!("{}{}", paths::CALL, query_of(&req.target));
-    inner
-        .with_header(HEAD_HEADER, codec::encode_text(head))
-        .with_header("x-target", &req.target)
-}
-
-fn query_of(target: &str) -> String {
-    target
-        .split_once('?')
-        .map_or_else(String::new, |(_, query)| format!("?{query}"))
-}
 
-fn read_reply(mut res: Response, attempt: &AttemptId) -> Ending {
-    let head = res
-        .header(OUTCOME_HEADER)
-        .and_then(|text| codec::decode_text::<OutcomeHead>(text).ok());
-    let Some(head) = head else {
-        return Ending::Unknown;
-    };
-    if head.attempt != *attempt {
-        log::error!("calls: a reply to another attempt");
-        return Ending::Unknown;
-    }
-    match head.outcome {
-        Outcome::Answered => {
-            res.headers.remove(OUTCOME_HEADER);
-            Ending::Answered(res)
-        }
-        Outcome::NotRun(not_run) => Ending::NotRun(not_run),
-        Outcome::Unknown => Ending::Unknown,
+    fn choose_in(
+        &self,
+        service: &ServiceTable,
+        tried: &[DaemonId],
+        draw: base::Share,
+        draws: Draws,
+    ) -> Option<Endpoint> {
+        let balancer = self.balancer.borrow();
+        let order = service.versions_in_order(self.lease(), draw);
+        order.iter().find_map(|version| {
+            let endpoints = service.endpoints(version);
+            match balancer.choose(endpoints, tried, draws, Instant::now()) {
+                Choice::To(endpoint) => Some(endpoint.clone()),
+                Choice::Nobody => None,
+            }
+        })
     }
-}
 
-fn not_run(reason: NotRunReason) -> NotRun {
-    NotRun {
-        reason,
-        retry_after: None,
+    fn lease(&self) -> LeaseState {
+        let heard = self.board.lease.get();
+        let life = self.board.me.settings.timing.lease;
+        let is_current = heard.lease.epoch >= self.board.state.get().epoch;
+        match heard.at {
+            Some(at) if is_current && at.elapsed() <= life => LeaseState::Fresh,
+            _ => LeaseState::Expired,
+        }
     }
 }
 
-fn finish(ending: Ending) -> Response {
-    match ending {
-        Ending::Answered(res) => res,
-        Ending::NotRun(not_run) => {
-            let after = not_run.retry_after.unwrap_or(RETRY_AFTER).as_secs().max(1);
-            Response::text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                format!("not run: {:?}", not_run.reason),
-            )
-            .with_header("x-not-run", "true")
-            .with_header("retry-after", after.to_string())
-        }
-        Ending::Unknown => Response::text(StatusCode::GATEWAY_TIMEOUT, "unknown: may have run"),
+fn call_id(req: &Request) -> smol_str::SmolStr {
+    match req.header(CALL_ID_HEADER) {
+        Some(id) => id.into(),
+        None => format!("{:032x}", rand::rng().random::<u128>()).into(),
     }
 }
--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -1,44 +1,45 @@
 //! Upstream side: takes attempts from other daemons and runs them on the upstream beside it.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use base::FastSet;
 use base::RoutePrefix;
 use base::ServiceName;
 use base::VersionName;
 use http::StatusCode;
+use http_edge::Latch;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
 use http_edge::Response;
+use ledger::Repeat;
 use local_sync::mpsc::unbounded;
 use protocol::announce::Announcement;
 use protocol::announce::UpstreamPhase;
 use protocol::call::AttemptId;
-use protocol::call::CALL_ID_HEADER;
 use protocol::call::CallHead;
-use protocol::call::DEADLINE_HEADER;
-use protocol::call::HEAD_HEADER;
-use protocol::call::Load;
 use protocol::call::NOT_RUN_HEADER;
 use protocol::call::NotRun;
 use protocol::call::NotRunReason;
-use protocol::call::OUTCOME_HEADER;
 use protocol::call::Outcome;
-use protocol::call::OutcomeHead;
 use protocol::call::Resolve;
 use protocol::codec;
 use routing::CallTable;
 use routing::calltable::Begin;
 use routing::calltable::CallTableLimits;
 use routing::calltable::Ending;
+use routing::calltable::Refusal;
 use routing::calltable::Resolution;
 
 use crate::board::Board;
 use crate::board::Leaving;
+use crate::calls::slots::Slot;
+use crate::calls::slots::Slots;
+use crate::calls::wire;
+use crate::calls::wire::not_run;
 
 /// How often a waiting question looks again whether its call has ended.
 const RESOLVE_POLL: Duration = Duration::from_millis(5);
@@ -63,11 +64,21 @@
     board: Board,
     pool: Pool,
     table: RefCell<CallTable<Response>>,
-    running: Cell<u32>,
+    slots: Rc<Slots>,
+    /// Attempts that wait for a slot.
+    queued: RefCell<FastSet<AttemptId>>,
     tx: unbounded::Tx<Observation>,
     rx: RefCell<Option<unbounded::Rx<Observation>>>,
 }
 
+enum Forwarded {
+    Answered(Response),
+    NotRun(NotRunReason),
+    Lost,
+    /// The caller side no longer wants an idempotent call.
+    Cancelled,
+}
+
 impl UpstreamSide {
     /// An upstream side that has run nothing.
     #[must_use]
@@ -78,7 +89,8 @@
             board: board.clone(),
             pool: Pool::new(PoolCfg::default()),
             table: RefCell::new(table),
-            running: Cell::new(0),
+            slots: Rc::new(Slots::new(board.me.settings.limits.queue)),
+            queued: RefCell::default(),
             tx,
             rx: RefCell::new(Some(rx)),
         }
@@ -92,68 +104,86 @@
         self.rx.take().expect("observations have one receiver")
     }
 
-    /// Returns when nothing runs, or after `patience`.
+    /// Returns when nothing waits or runs, or after `patience`.
     pub async fn idle(&self, patience: Duration) {
         let all_ended = async {
-            while self.running.get() > 0 {
+            while self.slots.load().running > 0 || self.slots.load().queued > 0 {
                 monoio::time::sleep(RESOLVE_POLL).await;
             }
         };
         let _ = monoio::time::timeout(patience, all_ended).await;
     }
 
-    /// One attempt.
+    /// One attempt. Dropped while it waits for a slot, it is fenced; dropped later, it runs on
+    /// unless it is idempotent.
     pub async fn call(self: &Rc<Self>, req: Request) -> Response {
-        let head = req
-            .header(HEAD_HEADER)
-            .and_then(|text| codec::decode_text::<CallHead>(text).ok());
-        let Some(head) = head else {
+        let Some(head) = wire::call_head(&req) else {
+            log::info!("calls: refused a call without a head");
             return Response::text(StatusCode::BAD_REQUEST, "no call head");
         };
-        let announcement = match self.admit(&head) {
-            Ok(announcement) => announcement,
-            Err(reason) => return self.not_run(&head.attempt, reason),
+        let until = Instant::now() + head.remaining;
+        if let Err(reason) = self.check(&head) {
+            return self.refuse(&head.attempt, not_run(reason));
+        }
+        let Some(arrival) = Arrival::new(self, &head.attempt) else {
+            return self.unknown(&head.attempt);
+        };
+        let slot = match self.slots.enter(head.class, until).await {
+            Ok(slot) => slot,
+            Err(not_run) => return self.refuse(&head.attempt, not_run),
         };
-        match self.table.borrow_mut().begin(&head.attempt) {
+        let begin = self.table.borrow_mut().begin(&head.attempt);
+        match begin {
             Begin::Run => {}
             Begin::Fenced | Begin::NoRoom => {
-                return self.not_run(&head.attempt, NotRunReason::GivenUp);
-            }
-            Begin::Repeated | Begin::Forgotten => {
-                return self.reply(&head.attempt, Outcome::Unknown, unknown());
+                return self.not_run(&head.attempt, not_run(NotRunReason::GivenUp));
             }
+            Begin::Repeated | Begin::Forgotten => return self.unknown(&head.attempt),
         }
-        // A task of its own: the run goes on when the caller side loses its connection.
+        drop(arrival);
+        let gone = Latch::default();
+        let watch = SetOnDrop(gone.clone());
         let side = Rc::clone(self);
-        monoio::spawn(async move { side.run(req, head, announcement).await }).await
+        let run = monoio::spawn(async move { side.run(req, head, until, slot, gone).await });
+        let res = run.await;
+        drop(watch);
+        res
     }
 
     /// What became of an attempt.
     pub async fn resolve(&self, req: Request) -> Response {
         let Ok(question) = codec::decode::<Resolve>(&req.body) else {
+            log::info!("calls: refused an unreadable question");
             return Response::text(StatusCode::BAD_REQUEST, "no question");
         };
         let until = Instant::now() + question.remaining;
         loop {
-            let reply = match self.table.borrow_mut().resolve(&question) {
-                Resolution::Fenced => {
-                    Some((Outcome::NotRun(not_run(NotRunReason::GivenUp)), unknown()))
-                }
-                Resolution::Finished(answer) => Some((Outcome::Answered, answer.clone())),
-                Resolution::Unknown => Some((Outcome::Unknown, unknown())),
-                Resolution::Running => None,
-            };
-            if let Some((outcome, res)) = reply {
-                return self.reply(&question.attempt, outcome, res);
+            if let Some(res) = self.told(&question) {
+                return res;
             }
             if Instant::now() >= until {
-                return self.reply(&question.attempt, Outcome::Unknown, unknown());
+                return self.reply(&question.attempt, Outcome::Pending, empty());
             }
             monoio::time::sleep(RESOLVE_POLL).await;
         }
     }
 
-    fn admit(&self, head: &CallHead) -> Result<Rc<Option<Announcement>>, NotRunReason> {
+    /// The answer to a question, unless the attempt still waits or runs.
+    fn told(&self, question: &Resolve) -> Option<Response> {
+        if self.queued.borrow().contains(&question.attempt) {
+            return None;
+        }
+        let mut table = self.table.borrow_mut();
+        let (outcome, res) = match table.resolve(question) {
+            Resolution::Running => return None,
+            Resolution::Fenced => (Outcome::NotRun(not_run(NotRunReason::GivenUp)), empty()),
+            Resolution::Finished(answer) => (Outcome::Answered, answer.clone()),
+            Resolution::Unknown => (Outcome::Unknown, empty()),
+        };
+        Some(self.reply(&question.attempt, outcome, res))
+    }
+
+    fn check(&self, head: &CallHead) -> Result<(), NotRunReason> {
         let upstream = self.board.upstream.get();
         let Some(announced) = upstream.as_ref() else {
             return Err(NotRunReason::NoInstance);
@@ -165,58 +195,61 @@
         if is_leaving || announced.phase == UpstreamPhase::Draining {
             return Err(NotRunReason::Leaving);
         }
-        if self.running.get() >= announced.slots {
-            return Err(NotRunReason::Overloaded);
-        }
-        if head.remaining.is_zero() {
-            return Err(NotRunReason::DeadlineTooShort);
-        }
-        Ok(upstream)
+        self.slots.set_slots(announced.slots);
+        Ok(())
     }
 
     async fn run(
-        &self,
+        self: Rc<Self>,
         req: Request,
         head: CallHead,
-        upstream: Rc<Option<Announcement>>,
+        until: Instant,
+        slot: Slot,
+        gone: Latch,
     ) -> Response {
-        let Some(announced) = upstream.as_ref() else {
-            return self.not_run(&head.attempt, NotRunReason::NoInstance);
-        };
-        self.running.set(self.running.get() + 1);
         let began = Instant::now();
-        let result = self.forward(req, &head, announced).await;
-        self.running.set(self.running.get() - 1);
-        let is_refusal = matches!(&result, Forwarded::NotRun(_));
+        let result = match head.repeat {
+            Repeat::AtMostOnce => self.forward(req, &head, until).await,
+            Repeat::Idempotent => monoio::select! {
+                () = gone.wait() => Forwarded::Cancelled,
+                result = self.forward(req, &head, until) => result,
+            },
+        };
+        let took = began.elapsed();
         let failed = match &result {
-            Forwarded::Answered(res) => res.status.is_server_error(),
-            Forwarded::NotRun(_) => false,
-            Forwarded::Lost => true,
+            Forwarded::Answered(res) => Some(res.status.is_server_error()),
+            Forwarded::Lost => Some(true),
+            Forwarded::NotRun(_) | Forwarded::Cancelled => None,
         };
-        if !is_refusal {
-            let _ = self.tx.send(Observation {
-                service: head.service.clone(),
-                version: head.version.clone(),
-                route: head.route.clone(),
-                failed,
-                took: began.elapsed(),
-            });
+        if let Some(failed) = failed {
+            slot.close(took);
+            self.observe(&head, failed, took);
         }
-        self.finish(&head.attempt, result)
+        self.finish(&head, result)
+    }
+
+    fn observe(&self, head: &CallHead, failed: bool, took: Duration) {
+        // Nobody listens when the daemon stops.
+        let _ = self.tx.send(Observation {
+            service: head.service.clone(),
+            version: head.version.clone(),
+            route: head.route.clone(),
+            failed,
+            took,
+        });
     }
 
-    async fn forward(&self, req: Request, head: &CallHead, announced: &Announcement) -> Forwarded {
-        let Ok(mut conn) = self.pool.take(announced.address).await else {
+    async fn forward(&self, req: Request, head: &CallHead, until: Instant) -> Forwarded {
+        let upstream = self.board.upstream.get();
+        let Some(Announcement { address, .. }) = upstream.as_ref() else {
+            return Forwarded::NotRun(NotRunReason::NoInstance);
+        };
+        let Ok(mut conn) = self.pool.take(*address).await else {
             return Forwarded::NotRun(NotRunReason::Unreachable);
         };
-        let target = req.header("x-target").unwrap_or("/").to_owned();
-        let mut out = Request { target, ..req };
-        out.headers.remove(HEAD_HEADER);
-        out.headers.remove("x-target");
-        let out = out
-            .with_header(CALL_ID_HEADER, &head.call)
-            .with_header(DEADLINE_HEADER, head.remaining.as_millis().to_string());
-        match conn.call(out, head.remaining).await {
+        let left = until.saturating_duration_since(Instant::now());
+        let out = wire::upstream_request(req, head, left);
+        match conn.call(out, left).await {
             Ok(res) => {
                 self.pool.put(conn);
                 if res.header(NOT_RUN_HEADER).is_some() {
@@ -227,78 +260,89 @@
             Err(e) => {
                 log::info!("calls: no answer from the upstream: {e}");
                 conn.close();
+                self.pool.forget(*address);
                 Forwarded::Lost
             }
         }
     }
 
-    fn finish(&self, attempt: &AttemptId, result: Forwarded) -> Response {
+    fn finish(&self, head: &CallHead, result: Forwarded) -> Response {
+        let attempt = &head.attempt;
         let mut table = self.table.borrow_mut();
         match result {
             Forwarded::Answered(res) => {
                 let bytes = res.body.len();
-                table.finish(
-                    attempt,
-                    Ending::Answered {
-                        answer: res.clone(),
-                        bytes,
-                    },
-                );
+                let answer = res.clone();
+                table.finish(attempt, Ending::Answered { answer, bytes });
                 self.reply(attempt, Outcome::Answered, res)
             }
             Forwarded::NotRun(reason) => {
                 table.finish(attempt, Ending::NotRun);
-                self.not_run(attempt, reason)
+                self.not_run(attempt, not_run(reason))
             }
-            Forwarded::Lost => {
+            Forwarded::Lost | Forwarded::Cancelled => {
                 table.finish(attempt, Ending::Lost);
-                self.reply(attempt, Outcome::Unknown, unknown())
+                self.unknown(attempt)
             }
         }
     }
 
-    fn not_run(&self, attempt: &AttemptId, reason: NotRunReason) -> Response {
-        self.reply(attempt, Outcome::NotRun(not_run(reason)), unknown())
+    /// Refuses an attempt that has not begun, and sees to it that it never will.
+    fn refuse(&self, attempt: &AttemptId, not_run: NotRun) -> Response {
+        let refusal = self.table.borrow_mut().refuse(attempt);
+        match refusal {
+            Refusal::NotRun => self.not_run(attempt, not_run),
+            Refusal::Unknown => self.unknown(attempt),
+        }
+    }
+
+    fn not_run(&self, attempt: &AttemptId, not_run: NotRun) -> Response {
+        self.reply(attempt, Outcome::NotRun(not_run), empty())
+    }
+
+    fn unknown(&self, attempt: &AttemptId) -> Response {
+        self.reply(attempt, Outcome::Unknown, empty())
     }
 
     fn reply(&self, attempt: &AttemptId, outcome: Outcome, res: Response) -> Response {
-        let head = OutcomeHead {
-            attempt: attempt.clone(),
-            outcome,
-            load: self.load(),
-        };
-        res.with_header(OUTCOME_HEADER, codec::encode_text(&head))
+        wire::reply(attempt, outcome, self.slots.load(), res)
     }
+}
 
-    fn load(&self) -> Load {
-        let slots = self
-            .board
-            .upstream
-            .get()
-            .as_ref()
-            .as_ref()
-            .map_or(0, |announced| announced.slots);
-        Load {
-            running: self.running.get(),
-            queued: 0,
-            slots,
-        }
+/// An attempt that has come in and not begun; dropped, it is fenced.
+struct Arrival {
+    side: Rc<UpstreamSide>,
+    attempt: AttemptId,
+}
+
+impl Arrival {
+    /// `None` for the second copy of an attempt that waits.
+    fn new(side: &Rc<UpstreamSide>, attempt: &AttemptId) -> Option<Self> {
+        let is_new = side.queued.borrow_mut().insert(attempt.clone());
+        is_new.then(|| Self {
+            side: Rc::clone(side),
+            attempt: attempt.clone(),
+        })
     }
 }
 
-enum Forwarded {
-    Answered(Response),
-    NotRun(NotRunReason),
-    Lost,
+impl Drop for Arrival {
+    fn drop(&mut self) {
+        self.side.queued.borrow_mut().remove(&self.attempt);
+        // Changes nothing for an attempt that has begun.
+        self.side.table.borrow_mut().refuse(&self.attempt);
+    }
 }
 
-fn not_run(reason: NotRunReason) -> NotRun {
-    NotRun {
-        reason,
-        retry_after: None,
+/// Tells the run that the caller side has gone.
+struct SetOnDrop(Latch);
+
+impl Drop for SetOnDrop {
+    fn drop(&mut self) {
+        self.0.set();
     }
 }
 
-fn unknown() -> Response {
+fn empty() -> Response {
     Response::new(StatusCode::OK, "")
 }
--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -1,5 +1,9 @@
 //! Tests of the daemon's parts.
 
+mod calls;
+mod fleet;
+mod relay;
+
 use crate::watch::Watch;
 
 #[test]
--- /dev/null
+++ b/crates/daemon/src/tests/calls.rs
@@ -0,0 +1,282 @@
+//! Promises about calls, with faults of the network, the daemons and the upstreams. The runs are
+//! counted at the upstreams.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_edge::Handler;
+use http_edge::Request;
+use http_edge::Response;
+use http_edge::block_on;
+use protocol::announce::UpstreamPhase;
+use protocol::call::AttemptId;
+use protocol::call::CALL_ID_HEADER;
+use protocol::call::HEAD_HEADER;
+use protocol::call::Load;
+use protocol::call::OUTCOME_HEADER;
+use protocol::call::Outcome;
+use protocol::call::OutcomeHead;
+use protocol::codec;
+use protocol::paths;
+use standin_upstream::Faults;
+use standin_upstream::faults::Mode;
+
+use crate::board::Leaving;
+use crate::tests::fleet::Fleet;
+use crate::tests::fleet::QUEUE;
+use crate::tests::fleet::SLOTS;
+use crate::tests::fleet::end_of;
+use crate::tests::fleet::serve;
+use crate::tests::relay::Fault;
+use crate::tests::relay::Fault::CutReply;
+use crate::tests::relay::Fault::CutRequest;
+use crate::tests::relay::Fault::LateReply;
+use crate::tests::relay::Fault::SilentReply;
+use crate::tests::relay::Fault::SilentRequest;
+use crate::tests::relay::Fault::Whole;
+
+const SIZE: usize = 100_000;
+
+#[test]
+fn booking_has_one_end_and_one_run_whatever_the_network_does() {
+    // Connections to the near instance meet the faults in the order of their opening.
+    let check = |faults: &[Fault], want: &str, runs: u32| {
+        let faults = faults.to_vec();
+        let (end, ran) = block_on(async {
+            let fleet = Fleet::start();
+            fleet.near.relay.plan(&faults);
+            let res = fleet.call("/book", "gown-7", SIZE).await;
+            (end_of(&res, "gown-7"), fleet.runs("gown-7"))
+        });
+        assert_eq!((end, ran), (want, runs), "{faults:?}");
+    };
+    let late = LateReply(Duration::from_millis(400));
+    check(&[Whole], "answer", 1);
+    // The first byte, the head, the body: the instance hands the answer over.
+    check(&[CutReply(1)], "answer", 1);
+    check(&[CutReply(100)], "answer", 1);
+    check(&[CutReply(SIZE / 2)], "answer", 1);
+    check(&[SilentReply], "answer", 1);
+    check(&[late], "answer", 1);
+    // It never began, is fenced, and runs at the other instance.
+    check(&[CutRequest(1)], "answer", 1);
+    check(&[CutRequest(200)], "answer", 1);
+    check(&[SilentRequest], "answer", 1);
+    // Two faults together.
+    check(&[CutReply(SIZE / 2), CutReply(SIZE / 2)], "answer", 1);
+    check(&[CutReply(100), late], "answer", 1);
+    check(&[SilentReply, SilentReply], "answer", 1);
+    check(&[CutRequest(200), SilentRequest], "answer", 1);
+    // Nobody can be asked, as if the daemon were frozen: said so, and not run again.
+    check(&[SilentReply; 20], "unknown", 1);
+}
+
+/// How the daemon at the upstream dies.
+#[derive(Debug, Clone, Copy)]
+enum Death {
+    ForGood,
+    Restarted,
+}
+
+#[test]
+fn booking_in_a_daemon_that_is_killed_is_unknown_and_runs_at_most_once() {
+    // The fault decides how far the call has come: held up before it begins, or running.
+    let check = |fault: Fault, death: Death, runs: u32| {
+        let (end, ran) = block_on(async {
+            let fleet = Rc::new(Fleet::start());
+            fleet.near.relay.plan(&[fault]);
+            let faults = Faults {
+                slow: 4.0,
+                ..Faults::default()
+            };
+            fleet.near.upstream.service().set_faults(faults);
+            let call = Rc::clone(&fleet);
+            let call = monoio::spawn(async move { call.call("/book", "gown-7", SIZE).await });
+            while fleet.near.relay.opened() == 0 || fleet.runs("gown-7") < runs {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+            match death {
+                Death::ForGood => fleet.near.kill(),
+                Death::Restarted => fleet.near.restart().await,
+            }
+            (end_of(&call.await, "gown-7"), fleet.runs("gown-7"))
+        });
+        assert_eq!((end, ran), ("unknown", runs), "{fault:?} {death:?}");
+    };
+    check(SilentRequest, Death::ForGood, 0);
+    check(SilentRequest, Death::Restarted, 0);
+    check(Whole, Death::ForGood, 1);
+    check(Whole, Death::Restarted, 1);
+}
+
+#[test]
+fn booking_meets_faults_of_the_upstream() {
+    let check = |mode: Mode, want: &str, runs: u32| {
+        let (end, ran) = block_on(async {
+            let fleet = Fleet::start();
+            let faults = Faults {
+                mode,
+                ..Faults::default()
+            };
+            fleet.near.upstream.service().set_faults(faults);
+            let res = fleet.call("/book", "gown-7", SIZE).await;
+            (end_of(&res, "gown-7"), fleet.runs("gown-7"))
+        });
+        assert_eq!((end, ran), (want, runs), "{mode:?}");
+    };
+    check(Mode::Refuse, "answer", 1);
+    check(Mode::Hang, "unknown", 1);
+}
+
+#[test]
+fn refused_bookings_did_not_run_and_answered_ones_ran_once() {
+    block_on(async {
+        let fleet = Rc::new(Fleet::start());
+        let room = 2 * (SLOTS as usize + QUEUE);
+        let calls: Vec<_> = (0..4 * room)
+            .map(|index| {
+                let fleet = Rc::clone(&fleet);
+                monoio::spawn(async move {
+                    let id = format!("gown-{index}");
+                    let res = fleet.call("/book", &id, 100 * index).await;
+                    (end_of(&res, &id), fleet.runs(&id))
+                })
+            })
+            .collect();
+        let mut ends = Vec::new();
+        for call in calls {
+            ends.push(call.await);
+        }
+        let answered = ends.iter().filter(|end| **end == ("answer", 1)).count();
+        let refused = ends.iter().filter(|end| **end == ("not run", 0)).count();
+        assert_eq!(answered + refused, ends.len(), "{ends:?}");
+        assert!(answered >= 2 * SLOTS as usize, "{ends:?}");
+        assert!(refused > 0, "{ends:?}");
+    });
+}
+
+#[test]
+fn leaving_instance_gets_nothing_new_and_finishes_what_it_has() {
+    let check = |leave: fn(&Fleet)| {
+        block_on(async {
+            let fleet = Rc::new(Fleet::start());
+            let faults = Faults {
+                slow: 10.0,
+                ..Faults::default()
+            };
+            fleet.near.upstream.service().set_faults(faults);
+            let early = Rc::clone(&fleet);
+            let early = monoio::spawn(async move { early.call("/book", "early", SIZE).await });
+            while fleet.runs("early") == 0 {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+            leave(&fleet);
+            for index in 0..5 {
+                let id = format!("late-{index}");
+                let res = fleet.call("/book", &id, 10).await;
+                assert_eq!(end_of(&res, &id), "answer");
+            }
+            assert_eq!(end_of(&early.await, "early"), "answer");
+            let near = fleet.near.upstream.service().runs().borrow().ids();
+            assert_eq!(near.len(), 1, "{near:?}");
+        });
+    };
+    check(|fleet| fleet.near.board.leaving.set(Leaving::Draining));
+    check(|fleet| {
+        let announced = fleet.near.board.upstream.get();
+        let mut announced = Option::clone(&announced).unwrap();
+        announced.phase = UpstreamPhase::Draining;
+        fleet.near.board.upstream.set(Some(announced));
+    });
+}
+
+#[test]
+fn cancellation_reaches_the_upstream_unless_the_call_runs_at_most_once() {
+    let check = |path: &str, cancelled: u64| {
+        block_on(async {
+            let fleet = Fleet::start();
+            let faults = Faults {
+                slow: 20.0,
+                ..Faults::default()
+            };
+            fleet.near.upstream.service().set_faults(faults);
+            let req = Request::post(path, "").with_header(CALL_ID_HEADER, "gone");
+            let mut conn = fleet.connect().await;
+            let client = async {
+                while fleet.runs("gone") == 0 {
+                    monoio::time::sleep(Duration::from_millis(1)).await;
+                }
+            };
+            monoio::select! {
+                () = client => {}
+                _ = conn.call(req, Duration::from_secs(30)) => panic!("answered too early"),
+            }
+            conn.close();
+            let runs = loop {
+                let runs = fleet.near.upstream.service().runs().borrow().summary();
+                if runs.finished + runs.cancelled > 0 {
+                    break runs;
+                }
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            };
+            assert_eq!(runs.cancelled, cancelled, "{path}");
+        });
+    };
+    check("/look", 1);
+    check("/book", 0);
+}
+
+/// Replies to each attempt with the answer to another one.
+struct Crossed;
+
+impl Handler for Crossed {
+    async fn handle(&self, req: Request) -> Response {
+        let res = Response::text(http::StatusCode::OK, "someone else's gown");
+        if req.path() != paths::CALL {
+            return res;
+        }
+        let head: protocol::call::CallHead =
+            codec::decode_text(req.header(HEAD_HEADER).unwrap()).unwrap();
+        let attempt = AttemptId {
+            sequence: head.attempt.sequence + 1,
+            ..head.attempt
+        };
+        let head = OutcomeHead {
+            attempt,
+            outcome: Outcome::Answered,
+            load: Load::default(),
+        };
+        res.with_header(OUTCOME_HEADER, codec::encode_text(&head))
+    }
+}
+
+#[test]
+fn reply_to_another_attempt_is_not_passed_on() {
+    let end = block_on(async {
+        let fleet = Fleet::start();
+        fleet.near.relay.set_target(serve(Crossed));
+        let res = fleet.call("/book", "gown-7", SIZE).await;
+        end_of(&res, "gown-7")
+    });
+    assert_eq!(end, "unknown");
+}
+
+#[test]
+fn malformed_requests_between_daemons_are_refused() {
+    let check = |path: &str| {
+        block_on(async {
+            let fleet = Fleet::start();
+            let timeout = Duration::from_secs(30);
+            let limits = http_edge::Limits::default();
+            let peer = fleet.near.relay.address;
+            let mut conn = http_edge::Conn::connect(peer, timeout, limits)
+                .await
+                .unwrap();
+            let req = Request::post(path, "no message").with_header(HEAD_HEADER, "no head");
+            let res = conn.call(req, timeout).await.unwrap();
+            assert_eq!(res.status, http::StatusCode::BAD_REQUEST, "{path}");
+        });
+    };
+    check(paths::CALL);
+    check(paths::RESOLVE);
+}
--- /dev/null
+++ b/crates/daemon/src/tests/fleet.rs
@@ -0,0 +1,224 @@
+//! One caller side and two instances of a service, each behind a relay; all in one process.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use http_edge::Conn;
+use http_edge::Handler;
+use http_edge::Limits;
+use http_edge::Request;
+use http_edge::Response;
+use http_edge::Server;
+use http_edge::ServerCfg;
+use ledger::State;
+use protocol::announce::Announcement;
+use protocol::announce::UpstreamPhase;
+use protocol::call::CALL_ID_HEADER;
+use protocol::paths;
+use routing::Endpoint;
+use routing::EndpointPhase;
+use routing::Table;
+use settings::Settings;
+use standin_upstream::Answer;
+use standin_upstream::Upstream;
+use standin_upstream::UpstreamCfg;
+
+use crate::board::Board;
+use crate::calls::CallerSide;
+use crate::calls::UpstreamSide;
+use crate::tests::relay::Relay;
+
+pub(super) const SLOTS: u32 = 2;
+pub(super) const QUEUE: usize = 2;
+
+/// An upstream with its daemon's upstream side, behind a relay.
+pub(super) struct Instance {
+    pub(super) upstream: Upstream,
+    pub(super) board: Board,
+    pub(super) relay: Relay,
+    zone: &'static str,
+}
+
+/// Two instances; the first one is in the caller's zone, so it gets the calls.
+pub(super) struct Fleet {
+    pub(super) near: Instance,
+    pub(super) far: Instance,
+    pub(super) calls: SocketAddr,
+}
+
+struct Inner(Rc<UpstreamSide>);
+
+impl Handler for Inner {
+    async fn handle(&self, req: Request) -> Response {
+        match req.path() {
+            paths::CALL => self.0.call(req).await,
+            _ => self.0.resolve(req).await,
+        }
+    }
+}
+
+impl Instance {
+    fn start(zone: &'static str) -> Self {
+        let upstream = Upstream::start(UpstreamCfg {
+            listen: any_port(),
+            announce: None,
+            service: "bookings".into(),
+            version: "v1".into(),
+            slots: 64,
+            cold_start: Duration::ZERO,
+            service_time: Duration::from_millis(20),
+        })
+        .unwrap();
+        let board = board(zone, zone, upstream.address());
+        let relay = Relay::start(serve_inner(&board));
+        Self {
+            upstream,
+            board,
+            relay,
+            zone,
+        }
+    }
+
+    /// Puts a daemon with a new incarnation, which knows of no call, in the place of this one.
+    pub(super) async fn restart(&self) {
+        // Incarnations are times of start in milliseconds.
+        monoio::time::sleep(Duration::from_millis(2)).await;
+        let board = board(self.zone, self.zone, self.upstream.address());
+        assert!(board.me.incarnation > self.board.me.incarnation);
+        self.relay.set_target(serve_inner(&board));
+        self.relay.cut_all();
+    }
+
+    /// Stops the daemon for good.
+    pub(super) fn kill(&self) {
+        let nobody = http_edge::listen(any_port()).unwrap();
+        self.relay.set_target(nobody.local_addr().unwrap());
+        drop(nobody);
+        self.relay.cut_all();
+    }
+
+    fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            daemon: self.board.me.settings.daemon.clone(),
+            incarnation: self.board.me.incarnation,
+            address: self.relay.address,
+            zone: self.zone.into(),
+            service: "bookings".into(),
+            version: "v1".into(),
+            slots: SLOTS,
+            cold_start: Duration::ZERO,
+            since: Instant::now(),
+            phase: EndpointPhase::Serving,
+        }
+    }
+}
+
+impl Fleet {
+    pub(super) fn start() -> Self {
+        let near = Instance::start("suva-a");
+        let far = Instance::start("suva-b");
+        let board = board("caller", "suva-a", any_port());
+        let endpoints = [near.endpoint(), far.endpoint()];
+        let table = Table::build(&state(), &BTreeSet::new(), endpoints).unwrap();
+        board.table.set(table);
+        let calls = serve(CallerSide::new(&board));
+        Self { near, far, calls }
+    }
+
+    /// One call of a client, whose answer has `size` bytes.
+    pub(super) async fn call(&self, path: &str, id: &str, size: usize) -> Response {
+        let req = Request::post(format!("{path}?size={size}"), "one gown")
+            .with_header(CALL_ID_HEADER, id);
+        let mut conn = self.connect().await;
+        conn.call(req, Duration::from_secs(30)).await.unwrap()
+    }
+
+    pub(super) async fn connect(&self) -> Conn {
+        let timeout = Duration::from_secs(30);
+        Conn::connect(self.calls, timeout, Limits::default())
+            .await
+            .unwrap()
+    }
+
+    /// Runs of a call, counted at the upstreams.
+    pub(super) fn runs(&self, id: &str) -> u32 {
+        let of = |instance: &Instance| {
+            let runs = instance.upstream.service().runs().borrow().ids();
+            runs.get(id).copied().unwrap_or(0)
+        };
+        of(&self.near) + of(&self.far)
+    }
+}
+
+/// Checks that a response is the whole answer to the call, a refusal, or an unknown end.
+pub(super) fn end_of(res: &Response, id: &str) -> &'static str {
+    match res.status {
+        StatusCode::OK => match Answer::verify(&res.body, id) {
+            Ok(_) => "answer",
+            Err(_) => "wrong answer",
+        },
+        StatusCode::SERVICE_UNAVAILABLE if res.header("retry-after").is_some() => "not run",
+        StatusCode::GATEWAY_TIMEOUT => "unknown",
+        _ => "other",
+    }
+}
+
+fn board(daemon: &str, zone: &str, upstream: SocketAddr) -> Board {
+    let text = format!(
+        "daemon: {daemon}\nzone: {zone}\nlisten:\n  calls: 127.0.0.1:7101\n  \
+         peers: 127.0.0.1:7102\n  local: 127.0.0.1:7103\nlog:\n  address: 127.0.0.1:7104\n\
+         limits:\n  queue: {QUEUE}\ntiming:\n  heartbeat: 100ms\n"
+    );
+    let board = Board::new(Settings::parse(&text, "test.yaml").unwrap());
+    board.upstream.set(Some(Announcement {
+        service: "bookings".into(),
+        version: "v1".into(),
+        address: upstream,
+        slots: SLOTS,
+        cold_start: Duration::ZERO,
+        phase: UpstreamPhase::Serving,
+    }));
+    board
+}
+
+fn state() -> State {
+    let text = "ticket: 1\nservices:\n  bookings: {version: v1}\nroutes:\n  \
+                /book: {service: bookings, repeat: at-most-once, timeout: 2s}\n  \
+                /look: {service: bookings, repeat: idempotent, timeout: 2s}\n";
+    let ticket = ledger::ticket::parse_yaml(text).unwrap();
+    let entry = ledger::Entry {
+        id: "1".into(),
+        at: 0,
+        record: ledger::Record::Ticket(ticket),
+    };
+    let mut state = State::default();
+    state.apply(&ledger::StampedRecord {
+        offset: 0,
+        entry: Some(entry),
+    });
+    state
+}
+
+pub(super) fn serve(handler: impl Handler) -> SocketAddr {
+    let listener = http_edge::listen(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    // Dropping the handle leaves the server running.
+    drop(Server::start(
+        listener,
+        Rc::new(handler),
+        ServerCfg::default(),
+    ));
+    address
+}
+
+fn serve_inner(board: &Board) -> SocketAddr {
+    serve(Inner(Rc::new(UpstreamSide::new(board))))
+}
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -20,6 +20,9 @@
 /// Header that carries an [`OutcomeHead`] as text.
 pub const OUTCOME_HEADER: &str = "x-bronzehead-outcome";
 
+/// Header between daemons: path and query of the client's request.
+pub const TARGET_HEADER: &str = "x-bronzehead-target";
+
 /// Header of callers and upstreams: the call's id.
 pub const CALL_ID_HEADER: &str = "x-call-id";
 
@@ -75,6 +78,8 @@
     Answered,
     /// The attempt did not begin and never will.
     NotRun(NotRun),
+    /// The attempt waits or runs; its end was not known when the time to wait was over.
+    Pending,
     /// The attempt may have run; nobody can say.
     Unknown,
 }
