Keep calls away from an instance that refuses everything

An instance that fails fast is idle, so the choice by load prefers it.

Weighed: ejecting on any refusal. Ruled out, since refusals under overload say nothing against the instance, and its reported load keeps calls away already. Refusals by the upstream, and for a wrong version or a missing upstream, count as faults; ejection and its cap then do the rest.

Change: `Balancer::refused` takes in all refusals, and the daemon passes them on.

--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::StatusCode;
 use http_edge::CallError;
 use http_edge::Conn;
 use http_edge::ConnectError;
 use http_edge::Request;
 use http_edge::Response;
-use protocol::call::NotRunReason;
 use protocol::call::Outcome;
 use protocol::call::Resolve;
 use protocol::codec;
 use protocol::paths;
+use routing::Balancer;
+use routing::Endpoint;
 use routing::attempts::Event;
 use routing::attempts::Permit;
 use routing::attempts::Reply;
@@ -186,31 +188,33 @@
 
 /// Notes what a reply tells about the instance, and keeps the answer.
 fn take_in(cx: &CallCx, sent: &Sent, told: Told) -> Reply {
-    let endpoint = &sent.endpoint;
-    let mut balancer = cx.shared.balancer.borrow_mut();
-    balancer.reported(endpoint, told.load, Instant::now());
+    let load = told.load;
+    note(cx, sent, |balancer, _| {
+        balancer.reported(&sent.endpoint, load, Instant::now());
+    });
     match told.outcome {
-        Outcome::Answered if told.res.status.is_server_error() => {
-            drop(balancer);
-            note_failure(cx, sent, Failure::Faulty);
-            sent.keep(told.res);
-            Reply::Answered
-        }
         Outcome::Answered => {
-            balancer.succeeded(endpoint);
+            note_answer(cx, sent, told.res.status);
             sent.keep(told.res);
             Reply::Answered
         }
         Outcome::NotRun(not_run) => {
-            if not_run.reason == NotRunReason::Leaving {
-                balancer.refused_as_leaving(endpoint);
-            }
+            note(cx, sent, |balancer, siblings| {
+                balancer.refused(&sent.endpoint, siblings, not_run.reason, Instant::now());
+            });
             Reply::NotRun(not_run)
         }
         Outcome::Pending | Outcome::Unknown => Reply::Unknown,
     }
 }
 
+fn note_answer(cx: &CallCx, sent: &Sent, status: StatusCode) {
+    if status.is_server_error() {
+        return note_failure(cx, sent, Failure::Faulty);
+    }
+    note(cx, sent, |balancer, _| balancer.succeeded(&sent.endpoint));
+}
+
 fn note_latency(cx: &CallCx, sent: &Sent, told: &Told, took: Duration) {
     if told.outcome == Outcome::Answered {
         let observe = |extras: &mut super::caller::Extras| extras.hedge.observe(took);
@@ -219,10 +223,16 @@
 }
 
 fn note_failure(cx: &CallCx, sent: &Sent, failure: Failure) {
+    note(cx, sent, |balancer, siblings| {
+        balancer.failed(&sent.endpoint, siblings, failure, Instant::now());
+    });
+}
+
+/// Notes something about the attempt's instance, given the instances of the same version.
+fn note(cx: &CallCx, sent: &Sent, f: impl FnOnce(&mut Balancer, &[Endpoint])) {
     let table = cx.shared.board.table.get();
     let siblings = table
         .service(&sent.head.service)
         .map_or(&[][..], |service| service.endpoints(&sent.head.version));
-    let mut balancer = cx.shared.balancer.borrow_mut();
-    balancer.failed(&sent.endpoint, siblings, failure, Instant::now());
+    f(&mut cx.shared.balancer.borrow_mut(), siblings);
 }
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -8,6 +8,7 @@
 use base::Incarnation;
 use base::ZoneName;
 use protocol::call::Load;
+use protocol::call::NotRunReason;
 
 use crate::endpoint::Endpoint;
 
@@ -244,9 +245,29 @@
         self.peer_mut(endpoint).reported = Some((load, now));
     }
 
-    /// Notes that an instance refused a call because it leaves.
-    pub fn refused_as_leaving(&mut self, endpoint: &Endpoint) {
-        self.peer_mut(endpoint).standing = Standing::Leaving;
+    /// Notes a refused attempt.
+    ///
+    /// An instance that refuses everything is idle, so it would attract calls; one that refuses
+    /// for another reason than its load counts as faulty.
+    pub fn refused(
+        &mut self,
+        endpoint: &Endpoint,
+        siblings: &[Endpoint],
+        reason: NotRunReason,
+        now: Instant,
+    ) {
+        match reason {
+            NotRunReason::Leaving => self.peer_mut(endpoint).standing = Standing::Leaving,
+            NotRunReason::UpstreamRefused
+            | NotRunReason::Unreachable
+            | NotRunReason::NoInstance
+            | NotRunReason::WrongVersion => self.failed(endpoint, siblings, Failure::Faulty, now),
+            NotRunReason::Overloaded
+            | NotRunReason::DeadlineTooShort
+            | NotRunReason::GivenUp
+            | NotRunReason::ProbeBudgetSpent
+            | NotRunReason::RetryBudgetSpent => {}
+        }
     }
 
     /// Notes a failed attempt. Ejects the instance if it has failed too often, but never more
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod calltable;
 mod network;
+mod overload;
 mod table;
 
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointPhase;
 
-fn ms(millis: u64) -> Duration {
+const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/crates/routing/src/tests/balancer.rs
+++ b/crates/routing/src/tests/balancer.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use protocol::call::Load;
+use protocol::call::NotRunReason;
 
 use super::endpoint;
 use crate::balancer::Balancer;
@@ -143,7 +144,7 @@
     let mut all = instances(&["suva-a"; 4], now);
     let mut balancer = balancer();
     all[1].phase = EndpointPhase::Leaving;
-    balancer.refused_as_leaving(&all[2]);
+    balancer.refused(&all[2], &all, NotRunReason::Leaving, now);
     let choice = balancer.choose(&all, &["d".into()], Draws(1, 1), now);
     assert_eq!(choice, Choice::To(&all[0]));
     let choice = balancer.choose(&all, &["a".into(), "d".into()], Draws(1, 1), now);
