Move traffic with several daemons, and fail the controller on the way

Cause: the tasks around the controller core had no test with several daemons.

Change: a fleet of four daemons, each on a thread of its own, with the log's stand-in, upstreams of two versions and a client. A daemon is killed by ending its thread and frozen by blocking it, as a paused process. Each fleet has a loopback address of its own: with shared addresses one run in two lost a port to a test beside it ("Address already in use").

--- /dev/null
+++ b/crates/daemon/tests/control/fleet.rs
@@ -0,0 +1,302 @@
+//! A small fleet: a log, upstreams and a client on the test's thread, and each daemon on a
+//! thread of its own, so that it can be killed and frozen like a process.
+
+use std::cell::Cell;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use daemon::Daemon;
+use http_edge::Conn;
+use http_edge::Limits;
+use http_edge::Request;
+use ledger::State;
+use protocol::status::STATUS_PATH;
+use protocol::status::Status;
+use settings::Settings;
+use standin_log::Cfg;
+use standin_log::Running;
+use standin_upstream::Faults;
+use standin_upstream::Upstream;
+use standin_upstream::UpstreamCfg;
+
+/// Time after which a test gives up; it bounds a hang, not a result.
+const PATIENCE: Duration = Duration::from_secs(100);
+
+const POLL: Duration = Duration::from_millis(50);
+const CALL_EVERY: Duration = Duration::from_millis(8);
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Numbers the fleets of this process, so that each has a loopback address of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// Versions of the upstreams beside the daemons.
+const VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
+
+const TICKETS: [&str; 2] = [
+    "ticket: 1
+services:
+  bookings: { version: v1 }
+routes:
+  /book: { service: bookings, repeat: at-most-once, timeout: 2s }
+  /pay: { service: bookings, repeat: at-most-once, timeout: 2s }
+",
+    "ticket: 2
+services:
+  bookings:
+    version: v2
+    policy: { prefer: safety, probe_share: 150, probe_calls: 400, watch: 3s }
+",
+];
+
+enum Command {
+    Kill,
+    Freeze(Duration),
+}
+
+pub struct Fleet {
+    pub log: Running,
+    log_address: SocketAddr,
+    host: Ipv4Addr,
+    upstreams: Vec<Upstream>,
+    daemons: Vec<Member>,
+    calls: Rc<Cell<usize>>,
+}
+
+pub struct Member {
+    pub name: String,
+    ports: Ports,
+    tx: mpsc::Sender<Command>,
+    is_alive: Cell<bool>,
+}
+
+#[derive(Clone, Copy)]
+struct Ports {
+    calls: SocketAddr,
+    peers: SocketAddr,
+    local: SocketAddr,
+}
+
+impl Fleet {
+    /// Starts everything and brings version `v1` into force.
+    pub async fn start() -> Self {
+        let (log, log_address) = standin_log::serve_local(Cfg::default()).expect("a port");
+        let mut fleet = Self {
+            log,
+            log_address,
+            host: own_host(),
+            upstreams: Vec::new(),
+            daemons: Vec::new(),
+            calls: Rc::default(),
+        };
+        for version in VERSIONS {
+            fleet.add(version);
+        }
+        fleet.publish(TICKETS[0]).await;
+        fleet
+            .until("v1 serves", |state| state.services.contains_key("bookings"))
+            .await;
+        fleet
+    }
+
+    /// Publishes the ticket for version `v2` and begins to call.
+    pub async fn begin_move(&self) {
+        self.publish(TICKETS[1]).await;
+        self.until("the move begins", |state| moving_share(state).is_some())
+            .await;
+        for member in &self.daemons {
+            monoio::spawn(call(member.ports.calls, Rc::clone(&self.calls)));
+        }
+    }
+
+    /// Sets the faults of the upstreams of version `v2`.
+    pub fn set_faults(&self, faults: &Faults) {
+        for (upstream, version) in self.upstreams.iter().zip(VERSIONS) {
+            if version == "v2" {
+                upstream.service().set_faults(faults.clone());
+            }
+        }
+    }
+
+    /// Calls that version `v2` began.
+    pub fn runs(&self) -> u64 {
+        self.upstreams
+            .iter()
+            .zip(VERSIONS)
+            .filter(|(_, version)| *version == "v2")
+            .map(|(upstream, _)| upstream.service().runs().borrow().summary().begun)
+            .sum()
+    }
+
+    /// Waits until the state of each living daemon meets the condition; gives one of them.
+    pub async fn until(&self, what: &str, is_met: impl Fn(&State) -> bool) -> State {
+        let wait = async {
+            loop {
+                let states = self.states().await;
+                let living = self.daemons.iter().filter(|member| member.is_alive.get());
+                if states.len() == living.count() && states.iter().all(&is_met) {
+                    return states.into_iter().next().expect("a daemon lives");
+                }
+                monoio::time::sleep(POLL).await;
+            }
+        };
+        if let Ok(state) = monoio::time::timeout(PATIENCE, wait).await {
+            return state;
+        }
+        panic!("{what}: not so; states: {:?}", self.states().await);
+    }
+
+    /// States of the daemons that answer.
+    pub async fn states(&self) -> Vec<State> {
+        let mut states = Vec::new();
+        for member in &self.daemons {
+            if let Some(status) = status(member.ports.local).await {
+                states.push(status.state);
+            }
+        }
+        states
+    }
+
+    /// Ends a daemon without any farewell.
+    pub fn kill(&self, name: &str) {
+        self.member(name).is_alive.set(false);
+        self.member(name).tx.send(Command::Kill).expect("it runs");
+    }
+
+    /// Stops all tasks of a daemon for a while, as a paused process.
+    pub fn freeze(&self, name: &str, time: Duration) {
+        let command = Command::Freeze(time);
+        self.member(name).tx.send(command).expect("it runs");
+    }
+
+    fn member(&self, name: &str) -> &Member {
+        let mut members = self.daemons.iter();
+        members
+            .find(|member| member.name == name)
+            .expect("a daemon of that name")
+    }
+
+    fn add(&mut self, version: &str) {
+        let name = format!("suva-a-{}", self.daemons.len());
+        let ports = Ports::free(self.host);
+        let seeds: Vec<_> = self.daemons.iter().map(|one| one.ports.peers).collect();
+        let settings = settings(&name, ports, self.log_address, &seeds);
+        let (tx, rx) = mpsc::channel();
+        std::thread::spawn(move || run(settings, &rx));
+        self.daemons.push(Member {
+            name,
+            ports,
+            tx,
+            is_alive: Cell::new(true),
+        });
+        let upstream = Upstream::start(UpstreamCfg {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announce: Some(ports.local),
+            service: "bookings".into(),
+            version: version.into(),
+            slots: 20,
+            cold_start: Duration::ZERO,
+            service_time: Duration::from_millis(5),
+        });
+        self.upstreams.push(upstream.expect("a port"));
+    }
+
+    async fn publish(&self, text: &str) {
+        let ticket = ledger::ticket::parse_yaml(text).expect("a ticket");
+        let cfg = platform::LogCfg::default();
+        let client = platform::LogClient::new(self.log_address, "bronzehead", cfg);
+        let entry = ledger::Entry {
+            id: format!("operator/{}", ticket.ticket).into(),
+            at: base::units::unix_millis(std::time::SystemTime::now()),
+            record: ledger::Record::Ticket(ticket),
+        };
+        client.append(&entry).await.expect("the log works");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for member in &self.daemons {
+            let _ = member.tx.send(Command::Kill);
+        }
+    }
+}
+
+impl Ports {
+    fn free(host: Ipv4Addr) -> Self {
+        let listeners: Vec<_> = (0..3)
+            .map(|_| TcpListener::bind((host, 0)).expect("a port"))
+            .collect();
+        let address = |index: usize| listeners[index].local_addr().expect("an address");
+        Self {
+            calls: address(0),
+            peers: address(1),
+            local: address(2),
+        }
+    }
+}
+
+/// The share of the move's new version, while one is under way.
+pub fn moving_share(state: &State) -> Option<u16> {
+    let moving = state.services.get("bookings")?.moving.as_ref()?;
+    Some(moving.share)
+}
+
+/// A loopback address that no other fleet uses: a free port there stays free.
+fn own_host() -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 | (high & 63), low, fleet)
+}
+
+fn run(settings: Settings, rx: &mpsc::Receiver<Command>) {
+    http_edge::block_on(async {
+        let _daemon = Daemon::start(settings).expect("free ports");
+        loop {
+            match rx.try_recv() {
+                Ok(Command::Kill) | Err(mpsc::TryRecvError::Disconnected) => return,
+                Ok(Command::Freeze(time)) => std::thread::sleep(time),
+                Err(mpsc::TryRecvError::Empty) => monoio::time::sleep(POLL).await,
+            }
+        }
+    });
+}
+
+fn settings(name: &str, ports: Ports, log: SocketAddr, seeds: &[SocketAddr]) -> Settings {
+    let text = format!(
+        "daemon: {name}
+zone: suva-a
+listen: {{ calls: \"{}\", peers: \"{}\", local: \"{}\" }}
+log: {{ address: \"{log}\" }}
+seeds: {seeds:?}
+",
+        ports.calls, ports.peers, ports.local
+    );
+    Settings::parse(&text, "test").expect("settings")
+}
+
+/// Calls both routes in turn through one daemon, for good.
+async fn call(address: SocketAddr, count: Rc<Cell<usize>>) {
+    loop {
+        let path = ["/book", "/pay"][count.get() % 2];
+        count.set(count.get() + 1);
+        let req = Request::post(path, "");
+        if let Ok(mut conn) = Conn::connect(address, TIMEOUT, Limits::default()).await {
+            let _ = conn.call(req, TIMEOUT).await;
+        }
+        monoio::time::sleep(CALL_EVERY * 4).await;
+    }
+}
+
+async fn status(address: SocketAddr) -> Option<Status> {
+    let mut conn = Conn::connect(address, TIMEOUT, Limits::default())
+        .await
+        .ok()?;
+    let res = conn.call(Request::get(STATUS_PATH), TIMEOUT).await.ok()?;
+    serde_json::from_slice(&res.body).ok()
+}
