Shorten the steps of a move when its deadline presses

Cause: with a deadline 15 s away the steps of the demo's good move stood 6 s apart (50 at :49, 200 at :55, 800 at :01), since the shortest dwell was 5 s whatever the time left; the move ended past the demo's patience of 22 s.

Ruled out: a shorter first look. It stays at 3 s.

Change: the shortest dwell is 2 s, about two rounds of reports; without a deadline the dwell stays 5 s. The growth counts on steps that are seen one look late. The demo gives its move 20 s.

--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -20,8 +20,11 @@
 use crate::judge::SUSPICIOUS;
 use crate::judge::Verdict;
 
-/// Shortest time between two steps; faults under load need about that long to show.
-pub const MIN_DWELL: Duration = Duration::from_secs(5);
+/// Shortest time between two steps when the deadline presses; two rounds of reports.
+pub const MIN_DWELL: Duration = Duration::from_secs(2);
+
+/// Time between two steps without a deadline; faults under load need about that long to show.
+pub const USUAL_DWELL: Duration = Duration::from_secs(5);
 
 /// Longest planned time between two steps; a far deadline does not slow a good version down
 /// beyond this.
@@ -248,7 +251,7 @@
     /// Time in the present step: what is left, divided among the steps that are left.
     fn dwell(&self, growth: f64) -> Duration {
         let Some(left) = self.time_left() else {
-            return MIN_DWELL;
+            return USUAL_DWELL;
         };
         let steps = steps_left(self.moving.share, growth);
         left.div_f64(steps).clamp(MIN_DWELL, MAX_DWELL)
@@ -259,7 +262,9 @@
         let Some(left) = self.time_left() else {
             return GROWTH;
         };
-        let steps = (left.as_secs_f64() / MIN_DWELL.as_secs_f64()).max(1.0);
+        // A step is seen up to one look later than it is due.
+        let step = MIN_DWELL + RECHECK;
+        let steps = (left.as_secs_f64() / step.as_secs_f64()).max(1.0);
         (f64::from(FULL_SHARE) / f64::from(self.moving.share))
             .powf(1.0 / steps)
             .clamp(GROWTH, MAX_GROWTH)
--- a/xtask/src/demo/tickets.rs
+++ b/xtask/src/demo/tickets.rs
@@ -25,7 +25,7 @@
 pub const BAD: TicketNumber = 3;
 
 /// Time that the good version's move is given.
-pub const MOVE_TIME: Duration = Duration::from_secs(15);
+pub const MOVE_TIME: Duration = Duration::from_secs(20);
 
 /// How long a version is watched after it got all calls.
 const WATCH: Duration = Duration::from_secs(3);
