Refuse calls as not run until a daemon has a configuration

A client takes a 404 as final.

Change: while no ticket is known, an unknown route is refused as not run, with Retry-After. The test failed before with 'left: 404, right: 503'.

--- a/crates/daemon/src/calls/caller.rs
+++ b/crates/daemon/src/calls/caller.rs
@@ -18,6 +18,7 @@
 use ledger::Repeat;
 use protocol::call::AttemptId;
 use protocol::call::CALL_ID_HEADER;
+use protocol::call::NotRunReason;
 use rand::Rng;
 use routing::Balancer;
 use routing::Endpoint;
@@ -80,10 +81,18 @@
         }
     }
 
+    /// A daemon that has just started cannot say that there is no such route.
+    fn no_route(&self) -> Response {
+        if self.shared.board.state.get().ticket == 0 {
+            return wire::not_run_response(&wire::not_run(NotRunReason::NoConfiguration));
+        }
+        Response::text(StatusCode::NOT_FOUND, "no route")
+    }
+
     async fn serve(&self, req: Request) -> Response {
         let table = self.shared.board.table.get();
         let Some(matched) = table.route(req.path()) else {
-            return Response::text(StatusCode::NOT_FOUND, "no route");
+            return self.no_route();
         };
         let id = call_id(&req);
         let limit = matched.route.timeout;
--- /dev/null
+++ b/crates/daemon/src/tests/start.rs
@@ -0,0 +1,36 @@
+//! Tests of a daemon that has just started.
+
+use http::StatusCode;
+use http_edge::Handler;
+use http_edge::Request;
+use ledger::State;
+use protocol::call::NOT_RUN_HEADER;
+use settings::Settings;
+
+use crate::board::Board;
+use crate::calls::CallerSide;
+
+const SETTINGS: &str = "daemon: suva-a-1\nzone: suva-a\nlisten:\n  calls: 127.0.0.1:7101\n  \
+                        peers: 127.0.0.1:7102\n  local: 127.0.0.1:7103\nlog:\n  \
+                        address: 127.0.0.1:7104\n";
+
+#[test]
+fn an_unknown_route_is_refused_as_not_run_until_there_is_a_configuration() {
+    http_edge::block_on(async {
+        let board = Board::new(Settings::parse(SETTINGS, "test.yaml").unwrap());
+        let side = CallerSide::new(&board);
+
+        let res = side.handle(Request::get("/bookings")).await;
+        assert_eq!(res.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(res.header(NOT_RUN_HEADER).is_some());
+        assert!(res.header("retry-after").is_some());
+
+        let state = State {
+            ticket: 1,
+            ..State::default()
+        };
+        board.state.set(state);
+        let res = side.handle(Request::get("/bookings")).await;
+        assert_eq!(res.status, StatusCode::NOT_FOUND);
+    });
+}
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -116,6 +116,8 @@
     NoInstance,
     /// The retry budget is spent.
     RetryBudgetSpent,
+    /// The daemon has started and has no configuration yet.
+    NoConfiguration,
 }
 
 /// Head of the upstream side's reply.
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -266,7 +266,8 @@
             | NotRunReason::DeadlineTooShort
             | NotRunReason::GivenUp
             | NotRunReason::ProbeBudgetSpent
-            | NotRunReason::RetryBudgetSpent => {}
+            | NotRunReason::RetryBudgetSpent
+            | NotRunReason::NoConfiguration => {}
         }
     }
 
