Let a close return only after its listener has gone

With the wait for connections on their way, a close could return before the task that accepts had run, so the address still took connections. It waits for the listener's end first.

Seen failing: standin_upstream's a_drain_is_announced_and_finishes_what_runs, six times of six with `assertion failed: again.is_err()` (and in a run of cargo xtask test: 250 passed, 1 failed); three times of three it passes after.

--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -106,6 +106,8 @@
     closing: Latch,
     connections: Cell<usize>,
     requests: Cell<usize>,
+    /// The listener has gone.
+    stopped: Latch,
 }
 
 impl Server {
@@ -134,6 +136,7 @@
         self.shared.draining.set();
         self.shared.closing.set();
         let all_ended = async {
+            self.shared.stopped.wait().await;
             while self.shared.requests.get() > 0 || self.shared.connections.get() > 0 {
                 monoio::time::sleep(CLOSE_POLL).await;
             }
@@ -173,6 +176,8 @@
     while let Some(stream) = accept_now(&listener).await {
         spawn_connection(stream, &handler, cfg, &shared);
     }
+    drop(listener);
+    shared.stopped.set();
 }
 
 /// A connection that waits already; gives no other task a turn, so that the listener can go with
