Test that a planned stop of a daemon cuts no request

Reason: the order of a daemon's closing was there without a proof.

Change: a test starts a whole daemon with the upstream stand-in, closes it while calls run for longer than the word takes to spread, and sends more calls meanwhile.

Conclusion: calls under way are answered whole; later ones are refused as not run and did not run. A connection that is opened at the instant when the daemon stops to listen is not covered.

--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod fleet;
 mod relay;
+mod stop;
 
 use crate::watch::Watch;
 
--- a/crates/daemon/src/tests/fleet.rs
+++ b/crates/daemon/src/tests/fleet.rs
@@ -63,16 +63,7 @@
 
 impl Instance {
     fn start(zone: &'static str) -> Self {
-        let upstream = Upstream::start(UpstreamCfg {
-            listen: any_port(),
-            announce: None,
-            service: "bookings".into(),
-            version: "v1".into(),
-            slots: 64,
-            cold_start: Duration::ZERO,
-            service_time: Duration::from_millis(20),
-        })
-        .unwrap();
+        let upstream = upstream(None);
         let board = board(zone, zone, upstream.address());
         let relay = Relay::start(serve_inner(&board));
         Self {
@@ -123,7 +114,7 @@
         let far = Instance::start("suva-b");
         let board = board("caller", "suva-a", any_port());
         let endpoints = [near.endpoint(), far.endpoint()];
-        let table = Table::build(&state(), &BTreeSet::new(), endpoints).unwrap();
+        let table = Table::build(&state("2s"), &BTreeSet::new(), endpoints).unwrap();
         board.table.set(table);
         let calls = serve(CallerSide::new(&board));
         Self { near, far, calls }
@@ -185,11 +176,27 @@
     board
 }
 
-fn state() -> State {
-    let text = "ticket: 1\nservices:\n  bookings: {version: v1}\nroutes:\n  \
-                /book: {service: bookings, repeat: at-most-once, timeout: 2s}\n  \
-                /look: {service: bookings, repeat: idempotent, timeout: 2s}\n";
-    let ticket = ledger::ticket::parse_yaml(text).unwrap();
+pub(super) fn upstream(announce: Option<SocketAddr>) -> Upstream {
+    let cfg = UpstreamCfg {
+        listen: any_port(),
+        announce,
+        service: "bookings".into(),
+        version: "v1".into(),
+        slots: 64,
+        cold_start: Duration::ZERO,
+        service_time: Duration::from_millis(20),
+    };
+    Upstream::start(cfg).unwrap()
+}
+
+/// A state with one service and a route of each kind.
+pub(super) fn state(timeout: &str) -> State {
+    let text = format!(
+        "ticket: 1\nservices:\n  bookings: {{version: v1}}\nroutes:\n  \
+                /book: {{service: bookings, repeat: at-most-once, timeout: {timeout}}}\n  \
+                /look: {{service: bookings, repeat: idempotent, timeout: {timeout}}}\n"
+    );
+    let ticket = ledger::ticket::parse_yaml(&text).unwrap();
     let entry = ledger::Entry {
         id: "1".into(),
         at: 0,
