Fold take-backs into the table as their records will be

Reason: the table matched a take-back to a move by the ticket's number alone. Since a later ticket may carry a move on, the fact of the first ticket then left the bad version with its share until the record came in, which in an outage of the log is long.

Weighed: repeating the ledger's rules in `routing`, or folding. Folding: one rule, and the table is the same before and after the record.

Change: `Table::build` takes the facts themselves and folds each into a copy of the state; the offset stays that of the state.

Seen failing with facts matched by the move's number: `versions_follow_share_lease_and_instances` in the case of a move that was carried on, left: ["v2", "v1"], right: ["v1"], and `finished_move_that_is_taken_back_returns_to_the_previous_version`.

Conclusion: the tests of `routing` and `daemon` pass.

--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -1,8 +1,5 @@
 //! Keeps the table for calls in step with state, facts and endpoints.
 
-use std::collections::BTreeSet;
-
-use base::TicketNumber;
 use routing::Table;
 
 use crate::board::Board;
@@ -23,10 +20,8 @@
 }
 
 fn rebuild(board: &Board) {
-    let taken_back: BTreeSet<TicketNumber> =
-        board.facts.get().iter().map(|fact| fact.ticket).collect();
     let endpoints = board.endpoints.get().iter().cloned().collect::<Vec<_>>();
-    match Table::build(&board.state.get(), &taken_back, endpoints) {
+    match Table::build(&board.state.get(), &board.facts.get(), endpoints) {
         Ok(table) if table.offset() >= board.table.get().offset() => board.table.set(table),
         Ok(_) => log::error!("table: kept the newer one"),
         Err(e) => log::error!("table: kept the former one: {e}"),
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -10,12 +10,16 @@
 use base::RoutePrefix;
 use base::ServiceName;
 use base::Share;
-use base::TicketNumber;
 use base::VersionName;
+use ledger::Entry;
 use ledger::Phase;
+use ledger::Record;
 use ledger::Route;
 use ledger::Service;
+use ledger::StampedRecord;
 use ledger::State;
+use protocol::feed::TakeBackFact;
+use smol_str::format_smolstr;
 
 use crate::endpoint::Endpoint;
 
@@ -106,20 +110,23 @@
 impl Table {
     /// Builds the table of one state.
     ///
-    /// `taken_back` names tickets whose moves have ended although the state may not say so yet.
+    /// `facts` are take-backs that count already although the state may not hold them yet; they
+    /// are folded as their records would be, so that the table is the same after those came in.
     /// Endpoints of versions that the state does not name are left out.
     ///
     /// # Errors
     /// When a route leads to a service that the state lacks.
     pub fn build(
         state: &State,
-        taken_back: &BTreeSet<TicketNumber>,
+        facts: &BTreeSet<TakeBackFact>,
         endpoints: impl IntoIterator<Item = Endpoint>,
     ) -> Result<Self, TableError> {
+        let offset = state.next;
+        let state = &with_facts(state, facts);
         let mut services: BTreeMap<_, _> = state
             .services
             .iter()
-            .map(|(name, service)| (name.clone(), ServiceTable::new(service, taken_back)))
+            .map(|(name, service)| (name.clone(), ServiceTable::new(service)))
             .collect();
         for (prefix, route) in &state.routes {
             if !services.contains_key(&route.service) {
@@ -135,7 +142,7 @@
             }
         }
         Ok(Self {
-            offset: state.next,
+            offset,
             routes: state.routes.clone(),
             services,
         })
@@ -190,20 +197,16 @@
 }
 
 impl ServiceTable {
-    fn new(service: &Service, taken_back: &BTreeSet<TicketNumber>) -> Self {
-        let candidate = service
-            .moving
-            .as_ref()
-            .filter(|moving| !taken_back.contains(&moving.ticket))
-            .map(|moving| {
-                let share = match moving.phase {
-                    Phase::Ramping => moving.share.min(FULL_SHARE),
-                    Phase::Watching(_) => FULL_SHARE,
-                };
-                (moving.to.clone(), share)
-            });
+    fn new(service: &Service) -> Self {
+        let candidate = service.moving.as_ref().map(|moving| {
+            let share = match moving.phase {
+                Phase::Ramping => moving.share.min(FULL_SHARE),
+                Phase::Watching(_) => FULL_SHARE,
+            };
+            (moving.to.clone(), share)
+        });
         Self {
-            stable: stable(service, taken_back),
+            stable: service.stable.clone(),
             candidate,
             endpoints: BTreeMap::new(),
         }
@@ -267,13 +270,25 @@
     }
 }
 
-/// The stable version; the one before it where the last finished move was taken back.
-fn stable(service: &Service, taken_back: &BTreeSet<TicketNumber>) -> VersionName {
-    let is_finished = service.moving.is_none();
-    match &service.previous {
-        Some(previous) if is_finished && taken_back.contains(&service.ticket) => previous.clone(),
-        _ => service.stable.clone(),
+/// The state as it will be when the records of the facts have come in.
+fn with_facts(state: &State, facts: &BTreeSet<TakeBackFact>) -> State {
+    let mut state = state.clone();
+    for fact in facts {
+        let entry = Entry {
+            id: format_smolstr!("fact {} {}", fact.ticket, fact.service),
+            at: 0,
+            record: Record::TakeBack {
+                ticket: fact.ticket,
+                service: fact.service.clone(),
+                reason: fact.reason.clone(),
+            },
+        };
+        state.apply(&StampedRecord {
+            offset: state.next,
+            entry: Some(entry),
+        });
     }
+    state
 }
 
 /// Holds the table in force; never goes back to a lower offset.
--- a/crates/routing/src/tests/table.rs
+++ b/crates/routing/src/tests/table.rs
@@ -14,6 +14,7 @@
 use ledger::Route;
 use ledger::Service;
 use ledger::State;
+use protocol::feed::TakeBackFact;
 
 use crate::endpoint::EndpointPhase;
 use crate::table::LeaseState;
@@ -53,6 +54,14 @@
     state
 }
 
+fn fact(ticket: u64) -> TakeBackFact {
+    TakeBackFact {
+        ticket,
+        service: "bookings".into(),
+        reason: "".into(),
+    }
+}
+
 #[test]
 fn longest_prefix_at_a_segment_end_wins() {
     let table = Table::build(&state(0, Phase::Ramping), &BTreeSet::new(), []).unwrap();
@@ -111,7 +120,7 @@
 #[derive(Debug, Clone)]
 struct Case {
     state: State,
-    facts: BTreeSet<u64>,
+    facts: BTreeSet<TakeBackFact>,
     live: Vec<&'static str>,
     lease: LeaseState,
     draw: Share,
@@ -132,6 +141,15 @@
         Self::new(50, Phase::Ramping, draw)
     }
 
+    /// Ticket 8 asked for the same version again.
+    fn carried_on() -> Self {
+        let mut case = Self::ramping(0);
+        let service = case.state.services.get_mut("bookings").unwrap();
+        let moving = service.moving.as_mut().unwrap();
+        moving.ticket = 8;
+        case
+    }
+
     fn watched() -> Self {
         Self::new(1000, Phase::Watching(0), 999)
     }
@@ -142,7 +160,7 @@
     }
 
     fn fact(self, ticket: u64) -> Self {
-        let facts = BTreeSet::from([ticket]);
+        let facts = BTreeSet::from([fact(ticket)]);
         Self { facts, ..self }
     }
 
@@ -174,6 +192,7 @@
     check(Case::ramping(999).only("v2"), &["v2"]);
     check(Case::ramping(49).expired().only("v2"), &["v2"]);
     check(Case::ramping(49).fact(7).only("v2"), &["v1"]);
+    check(Case::carried_on().fact(7), &["v1"]);
     check(Case::watched(), &["v2", "v1"]);
     check(Case::watched().expired(), &["v2", "v1"]);
     check(Case::watched().fact(7), &["v1"]);
@@ -185,11 +204,14 @@
     let service = state.services.get_mut("bookings").unwrap();
     service.moving = None;
     service.previous = Some("v0".into());
-    let check = |fact: u64, want: &str| {
-        let table = Table::build(&state, &BTreeSet::from([fact]), []).unwrap();
+    service.stable_asked = Asked { first: 6, last: 7 };
+    let check = |ticket: u64, want: &str| {
+        let table = Table::build(&state, &BTreeSet::from([fact(ticket)]), []).unwrap();
         assert_eq!(table.service("bookings").unwrap().stable, want);
     };
-    check(6, "v1");
+    check(5, "v1");
+    // The ticket that asked first, and the one that asked again.
+    check(6, "v0");
     check(7, "v0");
 }
 
