Try a silent instance again after a growing time

Reason: suspicion of an instance that had gone silent held until an answer came in, but no call was sent to it while another instance was trusted. One silence took it out of service for good.

Weighed: a probe beside the calls. Ruled out: a call that is tried there under the look at silence shows the same and needs no traffic of its own. Under the cap of ejection: ruled out, since with two instances the cap may be reached while one is silent; when all are silent all are tried.

Change: silence ejects at once, without the cap, for a time that doubles.

--- a/crates/daemon/src/tests/calls.rs
+++ b/crates/daemon/src/tests/calls.rs
@@ -71,6 +71,27 @@
     check(&[SilentReply; 20], "unknown", 1);
 }
 
+#[test]
+fn lookup_is_answered_and_keeps_away_from_a_silent_instance() {
+    let check = |fault: Fault| {
+        let (ends, opened) = block_on(async {
+            let fleet = Fleet::start();
+            fleet.near.relay.plan(&[fault; 100]);
+            let mut ends = Vec::new();
+            for _ in 0..10 {
+                let res = fleet.call("/look", "gown-7", 10).await;
+                ends.push(end_of(&res, "gown-7"));
+            }
+            (ends, fleet.near.relay.opened())
+        });
+        assert_eq!(ends, ["answer"; 10], "{fault:?}");
+        // Each try takes two connections, the attempt's and the look's; without ejection it is 20.
+        assert!(opened < 10, "{fault:?}: {opened} connections");
+    };
+    check(SilentRequest);
+    check(SilentReply);
+}
+
 /// How the daemon at the upstream dies.
 #[derive(Debug, Clone, Copy)]
 enum Death {
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -88,8 +88,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Standing {
     Good,
-    /// Connections to it went silent; holds until an answer comes in.
-    Suspect,
     /// It refused a call because it leaves; holds for its incarnation.
     Leaving,
 }
@@ -114,8 +112,8 @@
 
     /// Chooses one of a version's instances.
     ///
-    /// Own zone with room comes first, then any zone with room, then any at all. Ejected and
-    /// suspect instances come last: they are better than no answer.
+    /// Own zone with room comes first, then any zone with room, then any at all. Ejected
+    /// instances come last: they are better than no answer.
     #[must_use]
     pub fn choose<'a>(
         &self,
@@ -202,9 +200,8 @@
     }
 
     fn is_trusted(&self, endpoint: &Endpoint, now: Instant) -> bool {
-        self.peer(endpoint).is_none_or(|peer| {
-            peer.standing == Standing::Good && peer.ejected_until.is_none_or(|until| until <= now)
-        })
+        self.peer(endpoint)
+            .is_none_or(|peer| peer.ejected_until.is_none_or(|until| until <= now))
     }
 
     fn is_leaving(&self, endpoint: &Endpoint) -> bool {
@@ -235,9 +232,6 @@
         peer.failures = 0;
         peer.ejections = 0;
         peer.ejected_until = None;
-        if peer.standing == Standing::Suspect {
-            peer.standing = Standing::Good;
-        }
     }
 
     /// Notes the load that came with a reply.
@@ -271,7 +265,8 @@
     }
 
     /// Notes a failed attempt. Ejects the instance if it has failed too often, but never more
-    /// than a part of the version's instances, `siblings`, at once.
+    /// than a part of the version's instances, `siblings`, at once. A silent one is ejected at
+    /// once, since each further attempt would cost its caller the time to notice.
     pub fn failed(
         &mut self,
         endpoint: &Endpoint,
@@ -284,10 +279,8 @@
         match failure {
             Failure::Faulty => peer.failures += 1,
             Failure::Unreachable => peer.failures = limit,
-            Failure::Silent => {
-                peer.failures = limit;
-                peer.standing = Standing::Suspect;
-            }
+            // No cap: when all are silent, all are tried again.
+            Failure::Silent => return self.eject(endpoint, now),
         }
         if peer.failures >= limit && self.may_eject(siblings, now) {
             self.eject(endpoint, now);
