Drop what the caller side keeps about instances that are gone

Reason: the balancer kept every daemon name it had ever called, and idle connections past their time stayed open until the next call to their peer.

The memory itself was not measured.

--- a/crates/daemon/src/calls/caller.rs
+++ b/crates/daemon/src/calls/caller.rs
@@ -3,11 +3,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::DaemonId;
 use base::FastMap;
+use base::FastSet;
 use base::ServiceName;
 use http::StatusCode;
 use http_edge::Handler;
@@ -39,6 +41,9 @@
 /// Calls slower than this part of the latest ones are hedged.
 const HEDGE_QUANTILE: f64 = 0.95;
 
+/// How often unused connections and knowledge are dropped.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
 /// Takes calls from clients.
 pub struct CallerSide {
     shared: Rc<Shared>,
@@ -69,15 +74,15 @@
             ..PoolCfg::default()
         };
         let balancer = Balancer::new(BalancerConfig::default(), settings.zone.clone());
-        Self {
-            shared: Rc::new(Shared {
-                board: board.clone(),
-                pool: Pool::new(cfg),
-                balancer: RefCell::new(balancer),
-                extras: RefCell::default(),
-                sequence: Cell::new(0),
-            }),
-        }
+        let shared = Rc::new(Shared {
+            board: board.clone(),
+            pool: Pool::new(cfg),
+            balancer: RefCell::new(balancer),
+            extras: RefCell::default(),
+            sequence: Cell::new(0),
+        });
+        monoio::spawn(sweep(Rc::downgrade(&shared)));
+        Self { shared }
     }
 
     async fn serve(&self, req: Request) -> Response {
@@ -183,6 +188,24 @@
     }
 }
 
+/// Drops what is kept about connections, instances and services that are no longer in use.
+async fn sweep(shared: Weak<Shared>) {
+    loop {
+        monoio::time::sleep(SWEEP_PERIOD).await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        shared.pool.sweep();
+        let endpoints = shared.board.endpoints.get();
+        let daemons: FastSet<_> = endpoints.iter().map(|it| &it.daemon).collect();
+        let is_member = |daemon: &DaemonId| daemons.contains(daemon);
+        shared.balancer.borrow_mut().retain(is_member);
+        let state = shared.board.state.get();
+        let mut extras = shared.extras.borrow_mut();
+        extras.retain(|service, _| state.services.contains_key(service));
+    }
+}
+
 fn call_id(req: &Request) -> smol_str::SmolStr {
     match req.header(CALL_ID_HEADER) {
         Some(id) => id.into(),
