--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -260,7 +260,8 @@
             | NotRunReason::DeadlineTooShort
             | NotRunReason::GivenUp
             | NotRunReason::ProbeBudgetSpent
-            | NotRunReason::RetryBudgetSpent => {}
+            | NotRunReason::RetryBudgetSpent
+            | NotRunReason::NoConfiguration => {}
         }
     }
 
