Expect the reason of a take-back in the tests of bad versions

Cause: with latencies left uncounted, and with the alarms by route off, the tests of several daemons still passed: the version went as "not proven within 400 calls", or by the alarm over all routes.

Change: each test names the reason that it expects. The judge names a route before the total, as its comment said.

--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -26,8 +26,8 @@
     matches!(end(state), Some(MoveEnd::TakenBack { .. }))
 }
 
-/// A version that is bad from the start is taken back within its probe calls.
-fn check_bad(name: &str, faults: &Faults) {
+/// A version that is bad from the start is taken back within its probe calls, for that reason.
+fn check_bad(name: &str, want: &str, faults: &Faults) {
     block_on(async {
         let fleet = Fleet::start().await;
         fleet.set_faults(faults);
@@ -35,7 +35,10 @@
         let state = fleet
             .until("the move ends", |state| end(state).is_some())
             .await;
-        assert!(is_taken_back(&state), "{name}: {:?}", end(&state));
+        let Some(MoveEnd::TakenBack { reason }) = end(&state) else {
+            panic!("{name}: {:?}", end(&state));
+        };
+        assert!(reason.starts_with(want), "{name}: {reason}");
         let runs = fleet.runs();
         assert!(runs > 0 && runs <= PROBE_CALLS, "{name}: {runs} calls");
         monoio::time::sleep(LEASE_LIFE).await;
@@ -62,7 +65,7 @@
         fail: 1.0,
         ..Faults::default()
     };
-    check_bad("fails at once", &faults);
+    check_bad("fails at once", "calls fail", &faults);
 }
 
 #[test]
@@ -71,7 +74,7 @@
         fail: 0.3,
         ..Faults::default()
     };
-    check_bad("fails some calls", &faults);
+    check_bad("fails some calls", "calls fail", &faults);
 }
 
 #[test]
@@ -80,7 +83,7 @@
         slow: 8.0,
         ..Faults::default()
     };
-    check_bad("slow", &faults);
+    check_bad("slow", "calls are slow", &faults);
 }
 
 #[test]
@@ -90,7 +93,7 @@
         route: "/pay".into(),
         ..Faults::default()
     };
-    check_bad("fails on one route", &faults);
+    check_bad("fails on one route", "calls fail on /pay", &faults);
 }
 
 #[test]
@@ -100,7 +103,7 @@
         after_calls: 30,
         ..Faults::default()
     };
-    check_bad("fails later", &faults);
+    check_bad("fails later", "calls fail", &faults);
 }
 
 #[test]
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -177,7 +177,7 @@
             .map(|(route, track)| (Some(route), track));
         // With one route, the total says the same.
         let total = (self.routes.len() != 1).then_some((None, &self.total));
-        total.into_iter().chain(routes)
+        routes.chain(total)
     }
 
     fn streams(&self) -> usize {
