--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -1,5 +1,10 @@
 //! Tests of the daemon's parts.
 
+mod calls;
+mod fleet;
+mod relay;
+mod start;
+
 use crate::watch::Watch;
 
 #[test]
