Take the names of the log's streams from one place

Weighed: a dependency of the settings on the log's client for the defaults, ruled out since settings know only base. So the constants stand in base, the settings' defaults are made of them, and platform::Streams carries the names. Follower::cold keeps its signature; with_streams gives it other names.

Seen failing with with_streams switched off: "left: (0, 0) right: (7, 1)" in a_follower_keeps_to_the_streams_that_it_is_given.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod collections;
 pub mod hash;
 pub mod ids;
+pub mod streams;
 pub mod units;
 
 pub use collections::FastMap;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -105,6 +105,12 @@
         &self.cfg
     }
 
+    /// Address of the log.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Appends an entry; see [`LogClient::append_text`].
     ///
     /// # Errors
--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -8,9 +8,8 @@
 use ledger::Snapshot;
 use ledger::StampedRecord;
 use ledger::State;
+use smol_str::SmolStr;
 
-use crate::RECORD_STREAM;
-use crate::SNAPSHOT_STREAM;
 use crate::backoff::Backoff;
 use crate::client::LogCfg;
 use crate::client::LogClient;
@@ -19,6 +18,7 @@
 use crate::reader::LogReader;
 use crate::reader::ReadStep;
 use crate::snapshots::SnapshotStore;
+use crate::streams::Streams;
 
 /// Records that one read asks for.
 const PAGE_RECORDS: usize = 256;
@@ -79,15 +79,24 @@
         state: State,
         reader: impl FnOnce(Backoff) -> LogReader,
     ) -> Self {
+        let (log, snapshots) = clients(address, cfg, &Streams::default());
         Self {
-            log: LogClient::new(address, RECORD_STREAM, cfg),
-            snapshots: SnapshotStore::new(LogClient::new(address, SNAPSHOT_STREAM, cfg)),
+            log,
+            snapshots,
             reader: reader(Backoff::new(cfg.backoff, cfg.seed)),
             state,
             oldest: 0,
         }
     }
 
+    /// The same follower on streams of other names than the default ones.
+    #[must_use]
+    pub fn with_streams(mut self, streams: &Streams) -> Self {
+        let cfg = *self.log.cfg();
+        (self.log, self.snapshots) = clients(self.log.address(), cfg, streams);
+        self
+    }
+
     /// Offset of the oldest record that the log held at the last read.
     #[must_use]
     pub fn oldest(&self) -> Offset {
@@ -168,3 +177,9 @@
         Progress::Failed(error)
     }
 }
+
+fn clients(address: SocketAddr, cfg: LogCfg, streams: &Streams) -> (LogClient, SnapshotStore) {
+    let client = |stream: &SmolStr| LogClient::new(address, stream.clone(), cfg);
+    let snapshots = SnapshotStore::new(client(&streams.snapshots));
+    (client(&streams.records), snapshots)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,8 +11,12 @@
 mod reader;
 mod schedule;
 mod snapshots;
+mod streams;
 pub mod wire;
 
+pub use base::streams::RECORD_STREAM;
+pub use base::streams::SNAPSHOT_STREAM;
+
 pub use backoff::Backoff;
 pub use backoff::BackoffCfg;
 pub use client::LogCfg;
@@ -27,12 +31,7 @@
 pub use schedule::ScheduleCfg;
 pub use schedule::SnapshotSchedule;
 pub use snapshots::SnapshotStore;
-
-/// Stream of tickets and of the controller's records.
-pub const RECORD_STREAM: &str = "bronzehead";
-
-/// Stream of snapshots.
-pub const SNAPSHOT_STREAM: &str = "bronzehead-snapshots";
+pub use streams::Streams;
 
 #[cfg(test)]
 mod tests;
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -20,6 +20,7 @@
 use platform::RECORD_STREAM;
 use platform::SNAPSHOT_STREAM;
 use platform::SnapshotStore;
+use platform::Streams;
 use standin_log::Cfg;
 use standin_log::Faults;
 use standin_log::Outage;
@@ -327,3 +328,34 @@
         assert_eq!(follower.close(), state);
     });
 }
+
+#[test]
+fn a_follower_keeps_to_the_streams_that_it_is_given() {
+    block_on(async {
+        let (_log, address) = start();
+        let streams = Streams {
+            records: "other".into(),
+            snapshots: "other-snapshots".into(),
+        };
+        let client = |stream: &str| LogClient::new(address, stream, CFG);
+        client("other")
+            .append(&claim(1))
+            .await
+            .expect("the log is up");
+        let store = SnapshotStore::new(client("other-snapshots"));
+        let state = State {
+            next: 1,
+            ticket: 7,
+            ..State::default()
+        };
+        store
+            .write(&Snapshot { state })
+            .await
+            .expect("the log is up");
+
+        let mut follower = Follower::cold(address, CFG).with_streams(&streams);
+        while follower.advance(Duration::ZERO).await != Progress::CaughtUp {}
+        assert_eq!((follower.state().ticket, follower.state().next), (7, 1));
+        assert_eq!(folded(address).await, State::default());
+    });
+}
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::streams::RECORD_STREAM;
+use base::streams::SNAPSHOT_STREAM;
 use base::units::Size;
 use base::units::Span;
 use serde::Deserialize;
@@ -52,11 +54,11 @@
 }
 
 fn default_stream() -> SmolStr {
-    SmolStr::new_static("bronzehead")
+    SmolStr::new_static(RECORD_STREAM)
 }
 
 fn default_snapshots() -> SmolStr {
-    SmolStr::new_static("bronzehead-snapshots")
+    SmolStr::new_static(SNAPSHOT_STREAM)
 }
 
 fn default_log_timeout() -> Duration {
