Close a server only when its listening socket is gone

Cause: since requests on their way are answered at a close, the accept task goes on for a moment; close() did not wait for it, so a connection could still be opened after it. a_drain_is_announced_and_finishes_what_runs of the upstream stand-in failed with 'assertion failed: again.is_err()'.

Change: close() waits until the listening socket is gone.

--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -104,6 +104,8 @@
     draining: Latch,
     /// No new connections, idle ones are closed.
     closing: Latch,
+    /// The listening socket is gone.
+    not_listening: Latch,
     connections: Cell<usize>,
     requests: Cell<usize>,
 }
@@ -134,6 +136,7 @@
         self.shared.draining.set();
         self.shared.closing.set();
         let all_ended = async {
+            self.shared.not_listening.wait().await;
             while self.shared.requests.get() > 0 || self.shared.connections.get() > 0 {
                 monoio::time::sleep(CLOSE_POLL).await;
             }
@@ -173,6 +176,8 @@
     while let Some(stream) = accept_now(&listener).await {
         spawn_connection(stream, &handler, cfg, &shared);
     }
+    drop(listener);
+    shared.not_listening.set();
 }
 
 /// A connection that waits already; gives no other task a turn, so that the listener can go with
