--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -4,6 +4,7 @@
 //! call. [`UpstreamSide`] takes attempts from other daemons, admits them and runs them on the
 //! upstream beside this daemon. Both hold messages whole, within the limits of the settings.
 
+mod arrival;
 mod attempt;
 mod call;
 mod caller;
--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -36,6 +36,8 @@
 
 use crate::board::Board;
 use crate::board::Leaving;
+use crate::calls::arrival::Arrival;
+use crate::calls::arrival::SetOnDrop;
 use crate::calls::slots::Slot;
 use crate::calls::slots::Slots;
 use crate::calls::wire;
@@ -183,6 +185,17 @@
         Some(self.reply(&question.attempt, outcome, res))
     }
 
+    /// Notes that an attempt waits; false for the second copy of one that does.
+    pub(super) fn queue(&self, attempt: &AttemptId) -> bool {
+        self.queued.borrow_mut().insert(attempt.clone())
+    }
+
+    /// Notes that an attempt no longer waits. Fences it, unless it has begun.
+    pub(super) fn withdraw(&self, attempt: &AttemptId) {
+        self.queued.borrow_mut().remove(attempt);
+        self.table.borrow_mut().refuse(attempt);
+    }
+
     fn check(&self, head: &CallHead) -> Result<(), NotRunReason> {
         let upstream = self.board.upstream.get();
         let Some(announced) = upstream.as_ref() else {
@@ -309,40 +322,6 @@
     }
 }
 
-/// An attempt that has come in and not begun; dropped, it is fenced.
-struct Arrival {
-    side: Rc<UpstreamSide>,
-    attempt: AttemptId,
-}
-
-impl Arrival {
-    /// `None` for the second copy of an attempt that waits.
-    fn new(side: &Rc<UpstreamSide>, attempt: &AttemptId) -> Option<Self> {
-        let is_new = side.queued.borrow_mut().insert(attempt.clone());
-        is_new.then(|| Self {
-            side: Rc::clone(side),
-            attempt: attempt.clone(),
-        })
-    }
-}
-
-impl Drop for Arrival {
-    fn drop(&mut self) {
-        self.side.queued.borrow_mut().remove(&self.attempt);
-        // Changes nothing for an attempt that has begun.
-        self.side.table.borrow_mut().refuse(&self.attempt);
-    }
-}
-
-/// Tells the run that the caller side has gone.
-struct SetOnDrop(Latch);
-
-impl Drop for SetOnDrop {
-    fn drop(&mut self) {
-        self.0.set();
-    }
-}
-
 fn empty() -> Response {
     Response::new(StatusCode::OK, "")
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod calltable;
 pub mod endpoint;
+pub mod probe;
 pub mod table;
 
 pub use admission::Admission;
@@ -19,6 +20,7 @@
 pub use calltable::CallTable;
 pub use endpoint::Endpoint;
 pub use endpoint::EndpointPhase;
+pub use probe::ProbeBudget;
 pub use table::Table;
 pub use table::TableSlot;
 
--- a/crates/routing/src/tests/admission.rs
+++ b/crates/routing/src/tests/admission.rs
@@ -10,9 +10,9 @@
 use crate::admission::AdmissionConfig;
 use crate::admission::Next;
 use crate::admission::Offer;
-use crate::admission::Probe;
-use crate::admission::ProbeBudget;
 use crate::admission::Withdrawal;
+use crate::probe::Probe;
+use crate::probe::ProbeBudget;
 
 fn admission(slots: u32, max_queued: usize) -> Admission<u32> {
     Admission::new(AdmissionConfig {
