Drive members and feed in the daemon over sockets

Cause: the daemon exchanged heartbeats with all others, and each one read the log, so both loads grew with the fleet.

Change: a gossip task owns the UDP socket's sends and the member list; the rest of the daemon reaches it by events and reads what it publishes. Large differences come over the inner protocol. The placement in the fan-out tree is a watched value that stays empty until the daemon has joined, so a herd that restarts does not read the log as a herd of readers. Readers follow the log and ask the controller, or else each other, for lease and facts; the others hold a request open at their parent. A cold daemon gets whole state from a parent or peer, at most four transfers at once for each source.

Weighed: one task for reading and pulling that owns the state, with messages between. The state has one writer, the hub, and nothing awaits within a change, so two tasks that share the hub are simpler. The controller lags behind the readers, whom its records reach last; readers do not turn away from it for that.

The example `cost` of the membership crate measures the core at several sizes.

--- /dev/null
+++ b/crates/daemon/src/feed/hub.rs
@@ -0,0 +1,157 @@
+//! What the tasks of the feed share: the folded state and what is known of lease and facts.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::Offset;
+use base::hash;
+use ledger::StampedRecord;
+use ledger::State;
+use membership::feed::Admission;
+use membership::feed::Admit;
+use membership::feed::Answer;
+use membership::feed::Feed as Core;
+use membership::feed::FeedConfig;
+use membership::feed::Place;
+use membership::feed::Taken;
+use membership::feed::Uplink;
+use membership::rng::Rng;
+use protocol::codec;
+use protocol::feed::FeedReply;
+use protocol::feed::FeedRequest;
+
+use crate::board::Board;
+
+/// Settings of all feeds.
+pub(super) const CFG: FeedConfig = FeedConfig {
+    hold: Duration::from_secs(2),
+    ring_bytes: 256 * 1024,
+    reply_bytes: 128 * 1024,
+    record_size: |record| codec::encode(record).len(),
+};
+
+/// Transfers of whole state that run at once.
+const MAX_TRANSFERS: u32 = 4;
+
+/// How long a transfer of whole state takes as a rule.
+pub(super) const TRANSFER_TIME: Duration = Duration::from_millis(200);
+
+/// The only writer of the state on the board.
+pub(super) struct Hub {
+    pub(super) board: Board,
+    core: RefCell<Core>,
+    pub(super) admission: RefCell<Admission>,
+    pub(super) rng: RefCell<Rng>,
+}
+
+impl Hub {
+    pub(super) fn new(board: &Board) -> Self {
+        let seed = hash::stable(&[
+            b"feed",
+            board.me.settings.daemon.as_bytes(),
+            &board.me.incarnation.to_le_bytes(),
+        ]);
+        Self {
+            board: board.clone(),
+            core: RefCell::new(Core::new(CFG)),
+            admission: RefCell::new(Admission::new(MAX_TRANSFERS, TRANSFER_TIME)),
+            rng: RefCell::new(Rng::new(seed)),
+        }
+    }
+
+    /// Offset of the first record that is lacking.
+    pub(super) fn next(&self) -> Offset {
+        self.core.borrow().next()
+    }
+
+    /// Folds records of the log. Those that came from a peer before are passed over.
+    pub(super) fn fold(&self, records: Vec<StampedRecord>) {
+        let mut core = self.core.borrow_mut();
+        let new: Vec<_> = records
+            .into_iter()
+            .filter(|it| core.place(it) == Place::Next)
+            .collect();
+        drop(core);
+        self.apply(None, &new);
+    }
+
+    /// Takes over whole state, unless it is older.
+    pub(super) fn load(&self, state: &State) {
+        if state.next > self.next() {
+            self.core.borrow_mut().loaded(state.next);
+            self.apply(Some(state.clone()), &[]);
+        }
+    }
+
+    /// What to ask of a parent.
+    pub(super) fn request(&self, uplink: &Uplink) -> FeedRequest {
+        self.refresh();
+        let daemon = &self.board.me.settings.daemon;
+        self.core.borrow().request(daemon, uplink)
+    }
+
+    /// Takes in a parent's reply.
+    pub(super) fn take(&self, reply: FeedReply) -> Taken {
+        let mut taken = self.core.borrow_mut().take(reply);
+        self.apply(taken.load.take(), &taken.records);
+        if let Some(lease) = taken.lease {
+            self.board.merge_lease(lease);
+        }
+        self.board.merge_facts(taken.facts.drain(..));
+        taken
+    }
+
+    /// What to do with a child's request.
+    pub(super) fn answer(&self, req: &FeedRequest, arrived: Instant) -> Answer {
+        self.refresh();
+        self.core.borrow().answer(req, arrived, Instant::now())
+    }
+
+    /// Whole state for a child, or the time after which it should ask again.
+    pub(super) fn state_reply(&self, req: &FeedRequest) -> (FeedReply, Option<Admit>) {
+        let core = self.core.borrow();
+        let admit = self
+            .admission
+            .borrow_mut()
+            .enter(&mut self.rng.borrow_mut());
+        match admit {
+            Admit::RetryAfter(after) => (core.retry_reply(req, after), None),
+            granted @ Admit::Granted(_) => {
+                let state = State::clone(&self.board.state.get());
+                (core.state_reply(req, state), Some(granted))
+            }
+        }
+    }
+
+    /// Where a member takes the inner protocol.
+    pub(super) fn address_of(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let peers = self.board.peers.get();
+        let peer = peers.iter().find(|it| it.daemon == *daemon)?;
+        Some(peer.address)
+    }
+
+    /// Takes over what other parts of this daemon put on the board.
+    fn refresh(&self) {
+        let mut core = self.core.borrow_mut();
+        core.renew(self.board.lease.get().lease);
+        let facts = self.board.facts.get();
+        if facts.len() > core.facts().len() {
+            core.learn(facts.iter().cloned());
+        }
+    }
+
+    fn apply(&self, load: Option<State>, records: &[StampedRecord]) {
+        if load.is_none() && records.is_empty() {
+            return;
+        }
+        let mut state = load.unwrap_or_else(|| State::clone(&self.board.state.get()));
+        for record in records {
+            let applied = state.apply(record);
+            log::info!("feed: offset {}: {applied:?}", record.offset);
+        }
+        self.board.state.set(state);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/feed/log_reader.rs
@@ -0,0 +1,65 @@
+//! Reads the log while this daemon is one of its zone's readers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ledger::State;
+use membership::Role;
+use platform::Follower;
+use platform::Progress;
+
+use super::hub::Hub;
+use super::log_cfg;
+use crate::members::Members;
+
+/// Longest time that the log may hold a read open.
+const LONG_POLL: Duration = Duration::from_secs(2);
+
+pub(super) async fn run(hub: Rc<Hub>, members: Rc<Members>) {
+    loop {
+        let seen = members.placement().revision();
+        if is_reader(&members) {
+            read(&hub, &members).await;
+        } else {
+            members.placement().newer_than(seen).await;
+        }
+    }
+}
+
+/// Follows the log until another member is placed as the reader.
+async fn read(hub: &Hub, members: &Members) {
+    log::info!("feed: reads the log");
+    let mut follower = follower(hub);
+    while is_reader(members) {
+        match follower.advance(LONG_POLL).await {
+            Progress::Folded(folded) => hub.fold(folded.into_iter().map(|it| it.record).collect()),
+            Progress::Restored => hub.load(follower.state()),
+            Progress::Failed(e) => {
+                log::warn!("feed: cannot read the log: {e}");
+                // A peer may have brought what the log could not.
+                if hub.next() > follower.state().next {
+                    follower = self::follower(hub);
+                }
+            }
+            Progress::CaughtUp | Progress::NoSnapshot | Progress::Waited => {}
+        }
+    }
+    log::info!("feed: leaves the log to other readers");
+}
+
+fn follower(hub: &Hub) -> Follower {
+    let address = hub.board.me.settings.log.address;
+    let cfg = log_cfg(&hub.board);
+    if hub.next() == 0 {
+        return Follower::cold(address, cfg);
+    }
+    Follower::resume(address, cfg, State::clone(&hub.board.state.get()))
+}
+
+fn is_reader(members: &Members) -> bool {
+    let placement = members.placement().get();
+    matches!(
+        placement.as_ref().as_ref().map(|it| &it.role),
+        Some(Role::Reader { .. })
+    )
+}
--- a/crates/daemon/src/feed/mod.rs
+++ b/crates/daemon/src/feed/mod.rs
@@ -1,63 +1,43 @@
-//! Records from the log to this daemon and from it to its children.
+//! Records, lease and facts: from the log or a parent to this daemon, and on to its children.
+
+mod hub;
+mod log_reader;
+mod pull;
+mod server;
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use http::StatusCode;
 use http_edge::Request;
 use http_edge::Response;
-use platform::Follower;
 use platform::LogCfg;
-use platform::Progress;
-use protocol::codec;
 
 use crate::board::Board;
+use crate::members::Members;
+use hub::Hub;
 
-/// Longest time that the log may hold a read open.
-const LONG_POLL: Duration = Duration::from_secs(1);
-
-/// Folds the log into the state on the board.
+/// Handle of the feed's tasks.
 pub struct Feed {
-    board: Board,
+    hub: Rc<Hub>,
 }
 
 impl Feed {
-    /// Starts to read.
+    /// Starts to read, from the log or from a parent as the members place this daemon.
     #[must_use]
-    pub fn start(board: &Board) -> Rc<Self> {
-        let feed = Rc::new(Self {
-            board: board.clone(),
-        });
-        monoio::spawn(Rc::clone(&feed).run());
-        feed
+    pub fn start(board: &Board, members: &Rc<Members>) -> Rc<Self> {
+        let hub = Rc::new(Hub::new(board));
+        monoio::spawn(pull::run(Rc::clone(&hub), Rc::clone(members)));
+        monoio::spawn(log_reader::run(Rc::clone(&hub), Rc::clone(members)));
+        Rc::new(Self { hub })
     }
 
     /// One exchange with a child.
-    pub fn feed(&self, _req: &Request) -> Response {
-        Response::text(StatusCode::NOT_FOUND, "no feed")
+    pub async fn feed(&self, req: &Request) -> Response {
+        server::feed(&self.hub, req).await
     }
 
     /// Whole state for a daemon that starts.
     pub fn snapshot(&self, _req: &Request) -> Response {
-        Response::new(StatusCode::OK, codec::encode(&*self.board.state.get()))
-    }
-
-    async fn run(self: Rc<Self>) {
-        let cfg = log_cfg(&self.board);
-        let mut follower = Follower::cold(self.board.me.settings.log.address, cfg);
-        loop {
-            match follower.advance(LONG_POLL).await {
-                Progress::Folded(folded) => {
-                    for one in folded {
-                        log::info!("feed: offset {}: {:?}", one.record.offset, one.applied);
-                    }
-                    self.board.state.set(follower.state().clone());
-                }
-                Progress::Restored => self.board.state.set(follower.state().clone()),
-                Progress::Failed(e) => log::warn!("feed: cannot read the log: {e}"),
-                Progress::CaughtUp | Progress::NoSnapshot | Progress::Waited => {}
-            }
-        }
+        server::snapshot(&self.hub)
     }
 }
 
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -1,228 +1,128 @@
-//! Who is there: announcements of daemons and of the upstreams beside them.
+//! Who is there: gossip over UDP, syncs over the inner protocol, and what follows from both.
+
+mod gossip;
+mod publish;
+mod traffic;
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::UdpSocket as StdUdpSocket;
 use std::rc::Rc;
-use std::time::Duration;
-use std::time::Instant;
 
 use base::DaemonId;
-use base::Incarnation;
-use base::ZoneName;
 use http::StatusCode;
-use http_edge::Pool;
-use http_edge::PoolCfg;
 use http_edge::Request;
 use http_edge::Response;
-use protocol::announce::Announcement;
-use protocol::announce::UpstreamPhase;
+use local_sync::mpsc::bounded;
+use local_sync::oneshot;
+use membership::Message;
+use membership::Role;
+use membership::SyncReply;
+use membership::SyncRequest;
+use monoio::net::udp::UdpSocket;
 use protocol::codec;
-use protocol::paths;
-use routing::Endpoint;
-use routing::EndpointPhase;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::board::Board;
-use crate::board::Leaving;
-use crate::board::Peer;
-
-/// Longest wait for the answer of a peer.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// What a daemon says about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Word {
-    daemon: DaemonId,
-    incarnation: Incarnation,
-    /// Rises with each heartbeat.
-    heartbeat: u64,
-    address: SocketAddr,
-    zone: ZoneName,
-    upstream: Option<Announcement>,
-    left: bool,
+use crate::watch::Watch;
+use gossip::Gossip;
+pub use traffic::Traffic;
+
+/// Datagrams and commands that wait for the gossip task.
+const EVENTS: usize = 256;
+
+/// What this daemon does in the fan-out tree.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Its role.
+    pub role: Role,
+    /// Members that may hold whole state, the preferred ones first.
+    pub sources: Vec<DaemonId>,
 }
 
-struct Known {
-    word: Word,
-    since: Instant,
-    heard: Instant,
+/// What the gossip task is told.
+enum Event {
+    Datagram {
+        from: std::net::SocketAddr,
+        message: Message,
+    },
+    SyncAsked {
+        req: SyncRequest,
+        reply: oneshot::Sender<SyncReply>,
+    },
+    SyncAnswered(SyncReply),
+    Silent(DaemonId),
+    Leave(oneshot::Sender<()>),
 }
 
-/// Keeps the list of live members.
+/// Handle of the gossip task.
 pub struct Members {
-    board: Board,
-    pool: Pool,
-    known: RefCell<BTreeMap<DaemonId, Known>>,
+    tx: bounded::Tx<Event>,
+    placement: Watch<Option<Placement>>,
+    traffic: Rc<Traffic>,
 }
 
 impl Members {
-    /// Starts to exchange heartbeats.
+    /// Opens the socket and starts to join.
     ///
     /// # Errors
-    /// When a socket cannot be opened.
-    #[allow(clippy::unnecessary_wraps)]
+    /// When the socket cannot be opened.
     pub fn start(board: &Board) -> io::Result<Rc<Self>> {
+        let socket = StdUdpSocket::bind(board.me.settings.listen.peers)?;
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(UdpSocket::from_std(socket)?);
+        let (tx, rx) = bounded::channel(EVENTS);
         let members = Rc::new(Self {
-            board: board.clone(),
-            pool: Pool::new(PoolCfg::default()),
-            known: RefCell::default(),
+            tx: tx.clone(),
+            placement: Watch::default(),
+            traffic: Rc::default(),
         });
-        monoio::spawn(Rc::clone(&members).run());
+        monoio::spawn(gossip::receive(
+            Rc::clone(&socket),
+            tx.clone(),
+            Rc::clone(&members.traffic),
+        ));
+        let gossip = Gossip::new(board, socket, tx, &members);
+        monoio::spawn(gossip.run(rx));
         Ok(members)
     }
 
-    /// Tells the others that this daemon leaves.
-    pub async fn leave(&self) {
-        self.exchange_with_all().await;
-    }
-
-    /// Takes in the list of a peer and answers with this one's.
-    pub fn sync(&self, req: &Request) -> Response {
-        match codec::decode::<Vec<Word>>(&req.body) {
-            Ok(words) => {
-                self.merge(words);
-                Response::new(StatusCode::OK, codec::encode(&self.words()))
-            }
-            Err(e) => Response::text(StatusCode::BAD_REQUEST, e.to_string()),
-        }
+    /// The role of this daemon; `None` until it has joined.
+    #[must_use]
+    pub fn placement(&self) -> &Watch<Option<Placement>> {
+        &self.placement
     }
 
-    async fn run(self: Rc<Self>) {
-        loop {
-            self.merge(vec![self.own_word()]);
-            self.publish();
-            self.exchange_with_all().await;
-            monoio::time::sleep(self.board.me.settings.timing.heartbeat).await;
-        }
+    /// What gossip and syncs have sent and received so far.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
-    fn own_word(&self) -> Word {
-        let me = &self.board.me;
-        let own = self
-            .known
-            .borrow()
-            .get(&me.settings.daemon)
-            .map_or(0, |known| known.word.heartbeat);
-        Word {
-            daemon: me.settings.daemon.clone(),
-            incarnation: me.incarnation,
-            heartbeat: own + 1,
-            address: me.settings.listen.peers,
-            zone: me.settings.zone.clone(),
-            upstream: (*self.board.upstream.get()).clone(),
-            left: *self.board.leaving.get() != Leaving::No,
+    /// Tells the others that this daemon leaves.
+    pub async fn leave(&self) {
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(Event::Leave(tx)).await.is_ok() {
+            let _ = rx.await;
         }
     }
 
-    fn words(&self) -> Vec<Word> {
-        self.known
-            .borrow()
-            .values()
-            .map(|known| known.word.clone())
-            .collect()
-    }
-
-    async fn exchange_with_all(&self) {
-        self.merge(vec![self.own_word()]);
-        let own = self.board.me.settings.listen.peers;
-        let mut addresses: Vec<_> = self.words().iter().map(|word| word.address).collect();
-        addresses.extend(&self.board.me.settings.seeds);
-        addresses.sort_unstable();
-        addresses.dedup();
-        for address in addresses.into_iter().filter(|address| *address != own) {
-            self.exchange(address).await;
-        }
+    /// Has a member probed soon that another part cannot reach.
+    pub async fn report_silent(&self, daemon: DaemonId) {
+        let _ = self.tx.send(Event::Silent(daemon)).await;
     }
 
-    async fn exchange(&self, address: SocketAddr) {
-        let Ok(mut conn) = self.pool.take(address).await else {
-            return;
+    /// Answers the sync of a peer.
+    pub async fn sync(&self, req: &Request) -> Response {
+        let req = match codec::decode(&req.body) {
+            Ok(req) => req,
+            Err(e) => return Response::text(StatusCode::BAD_REQUEST, e.to_string()),
         };
-        let req = Request::post(paths::MEMBERS, codec::encode(&self.words()));
-        let Ok(res) = conn.call(req, EXCHANGE_TIMEOUT).await else {
-            return;
+        let (reply, rx) = oneshot::channel();
+        let _ = self.tx.send(Event::SyncAsked { req, reply }).await;
+        let Ok(reply) = rx.await else {
+            return Response::text(StatusCode::SERVICE_UNAVAILABLE, "too many syncs");
         };
-        self.pool.put(conn);
-        if let Ok(words) = codec::decode::<Vec<Word>>(&res.body) {
-            self.merge(words);
-        }
-    }
-
-    fn merge(&self, words: Vec<Word>) {
-        let now = Instant::now();
-        let mut known = self.known.borrow_mut();
-        for word in words {
-            match known.get_mut(&word.daemon) {
-                Some(old) if rank(&word) > rank(&old.word) => {
-                    if word.incarnation > old.word.incarnation {
-                        old.since = now;
-                    }
-                    old.word = word;
-                    old.heard = now;
-                }
-                Some(_) => {}
-                None => {
-                    known.insert(
-                        word.daemon.clone(),
-                        Known {
-                            word,
-                            since: now,
-                            heard: now,
-                        },
-                    );
-                }
-            }
-        }
+        let body = codec::encode(&reply);
+        self.traffic.sent(body.len());
+        Response::new(StatusCode::OK, body)
     }
-
-    fn publish(&self) {
-        let known = self.known.borrow();
-        let patience = self.board.me.settings.timing.suspicion;
-        let live = known
-            .values()
-            .filter(|known| !known.word.left && known.heard.elapsed() < patience);
-        let live: Vec<_> = live.collect();
-        self.board
-            .peers
-            .set_if_changed(live.iter().map(|known| peer(&known.word)).collect());
-        self.board
-            .endpoints
-            .set_if_changed(live.iter().filter_map(|known| endpoint(known)).collect());
-    }
-}
-
-fn rank(word: &Word) -> (Incarnation, u64) {
-    (word.incarnation, word.heartbeat)
-}
-
-fn peer(word: &Word) -> Peer {
-    Peer {
-        daemon: word.daemon.clone(),
-        incarnation: word.incarnation,
-        address: word.address,
-        zone: word.zone.clone(),
-    }
-}
-
-fn endpoint(known: &Known) -> Option<Endpoint> {
-    let announced = known.word.upstream.as_ref()?;
-    let phase = match announced.phase {
-        UpstreamPhase::Draining => EndpointPhase::Leaving,
-        UpstreamPhase::Starting | UpstreamPhase::Serving => EndpointPhase::Serving,
-    };
-    Some(Endpoint {
-        daemon: known.word.daemon.clone(),
-        incarnation: known.word.incarnation,
-        address: known.word.address,
-        zone: known.word.zone.clone(),
-        service: announced.service.clone(),
-        version: announced.version.clone(),
-        slots: announced.slots,
-        cold_start: announced.cold_start,
-        since: known.since,
-        phase,
-    })
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -26,9 +26,9 @@
         match req.path() {
             paths::CALL => self.calls.call(req).await,
             paths::RESOLVE => self.calls.resolve(req).await,
-            paths::FEED => self.feed.feed(&req),
+            paths::FEED => self.feed.feed(&req).await,
             paths::SNAPSHOT => self.feed.snapshot(&req),
-            paths::MEMBERS => self.members.sync(&req),
+            paths::MEMBERS => self.members.sync(&req).await,
             paths::EVIDENCE => self.control.evidence(&req),
             _ => Response::text(StatusCode::NOT_FOUND, "no such path"),
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -70,7 +70,7 @@
         let board = Board::new(settings);
 
         let members = Members::start(&board).map_err(|source| at(listen.peers, source))?;
-        let feed = Feed::start(&board);
+        let feed = Feed::start(&board, &members);
         let upstream_side = Rc::new(UpstreamSide::new(&board));
         let control = Control::start(&board, &upstream_side);
         let caller_side = Rc::new(CallerSide::new(&board));
--- /dev/null
+++ b/crates/membership/examples/cost.rs
@@ -0,0 +1,205 @@
+//! Cost of membership per member: datagrams, bytes and processor time at several sizes.
+//!
+//! Run with `cargo run --release -p membership --example cost`. All members live in this process
+//! and time is simulated, so the figures are those of the core without sockets. Memory is the
+//! growth of the resident set while the views are built, shared by their number.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use membership::Member;
+use membership::MemberState;
+use membership::Message;
+use membership::Output;
+use membership::Swim;
+use membership::SwimConfig;
+use membership::SyncReply;
+use membership::UpstreamInfo;
+use membership::rng::Rng;
+use protocol::announce::UpstreamPhase;
+
+const STEP: Duration = Duration::from_millis(100);
+const STEPS_PER_SECOND: u32 = 10;
+const SETTLE_SECONDS: u32 = 60;
+const SECONDS: u32 = 60;
+const SEEDS: [u64; 3] = [1, 2, 3];
+const SIZES: [u16; 7] = [64, 128, 256, 512, 1024, 1400, 2048];
+const ZONES: [&str; 6] = [
+    "suva-a",
+    "suva-b",
+    "nadi-a",
+    "lautoka-a",
+    "attiki-a",
+    "attiki-b",
+];
+
+/// What happens while the cost is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    /// Nothing changes.
+    Quiet,
+    /// The members of one zone die at once.
+    ZoneDies,
+}
+
+/// Sums over all members.
+#[derive(Debug, Default, Clone, Copy)]
+struct Cost {
+    datagrams: u64,
+    bytes: u64,
+    sync_bytes: u64,
+    busy: Duration,
+}
+
+struct Fleet {
+    members: BTreeMap<SocketAddr, Swim>,
+    inboxes: BTreeMap<SocketAddr, Vec<(SocketAddr, Message)>>,
+    now: Instant,
+    cost: Cost,
+}
+
+fn main() {
+    println!("sent per member and second; busy: processor time; kib: memory of one view");
+    println!("members load seed datagrams bytes sync-bytes busy-us kib");
+    for count in SIZES {
+        for load in [Load::Quiet, Load::ZoneDies] {
+            for seed in SEEDS {
+                report(count, load, seed);
+            }
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn report(count: u16, load: Load, seed: u64) {
+    let before = resident_kib();
+    let mut fleet = Fleet::joined(count, seed);
+    let grown = resident_kib().saturating_sub(before);
+    if load == Load::ZoneDies {
+        fleet.members.retain(|_, it| it.me().zone != ZONES[0]);
+    }
+    fleet.cost = Cost::default();
+    fleet.run(SECONDS * STEPS_PER_SECOND);
+    let share = fleet.members.len() as f64 * f64::from(SECONDS);
+    let cost = fleet.cost;
+    println!(
+        "{count} {load:?} {seed} {:.2} {:.0} {:.0} {:.1} {:.0}",
+        cost.datagrams as f64 / share,
+        cost.bytes as f64 / share,
+        cost.sync_bytes as f64 / share,
+        cost.busy.as_secs_f64() * 1e6 / share,
+        grown as f64 / f64::from(count),
+    );
+}
+
+impl Fleet {
+    /// All members have taken in the list and have gone on for a while.
+    fn joined(count: u16, seed: u64) -> Self {
+        let now = Instant::now();
+        let mut rng = Rng::new(seed);
+        let all: Vec<Member> = (0..count).map(member).collect();
+        let mut fleet = Self {
+            members: BTreeMap::new(),
+            inboxes: BTreeMap::new(),
+            now,
+            cost: Cost::default(),
+        };
+        for me in &all {
+            let cfg = SwimConfig::default();
+            let mut swim = Swim::new(cfg, me.clone(), &[], rng.next_u64(), now);
+            let members = all.clone();
+            swim.on_sync_reply(SyncReply { members }, now);
+            fleet.members.insert(me.address, swim);
+        }
+        fleet.run(SETTLE_SECONDS * STEPS_PER_SECOND);
+        fleet
+    }
+
+    fn run(&mut self, steps: u32) {
+        for _ in 0..steps {
+            self.now += STEP;
+            let addresses: Vec<_> = self.members.keys().copied().collect();
+            for address in addresses {
+                self.turn(address);
+            }
+        }
+    }
+
+    /// One member takes in what waits, then ticks.
+    fn turn(&mut self, address: SocketAddr) {
+        let waiting = self.inboxes.remove(&address).unwrap_or_default();
+        let Some(swim) = self.members.get_mut(&address) else {
+            return;
+        };
+        let start = Instant::now();
+        let mut outputs = Vec::new();
+        for (from, message) in waiting {
+            outputs.extend(swim.on_message(from, message, self.now));
+        }
+        outputs.extend(swim.on_tick(self.now));
+        self.cost.busy += start.elapsed();
+        for output in outputs {
+            self.carry_out(address, output);
+        }
+    }
+
+    fn carry_out(&mut self, from: SocketAddr, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                self.cost.datagrams += 1;
+                self.cost.bytes += encoded_size(&message);
+                if self.members.contains_key(&to) {
+                    self.inboxes.entry(to).or_default().push((from, message));
+                }
+            }
+            Output::Sync { with } => self.sync(from, with),
+            Output::Changed(_) | Output::Renumbered(_) | Output::Displaced => {}
+        }
+    }
+
+    fn sync(&mut self, from: SocketAddr, with: SocketAddr) {
+        let (Some(asking), Some(peer)) = (self.members.get(&from), self.members.get(&with)) else {
+            return;
+        };
+        let req = asking.sync_request();
+        let reply = peer.on_sync_request(&req);
+        self.cost.sync_bytes += encoded_size(&req) + encoded_size(&reply);
+        if let Some(asking) = self.members.get_mut(&from) {
+            asking.on_sync_reply(reply, self.now);
+        }
+    }
+}
+
+fn member(number: u16) -> Member {
+    let zone = ZONES[usize::from(number) % ZONES.len()];
+    Member {
+        daemon: format!("{zone}-{number}").into(),
+        incarnation: 1_700_000_000_000 + u64::from(number),
+        version: 1,
+        address: SocketAddr::from(([10, 0, 0, 1], 10_000 + number)),
+        zone: zone.into(),
+        upstream: Some(UpstreamInfo {
+            service: "bookings".into(),
+            version: "v2".into(),
+            slots: 20,
+            cold_start: Duration::from_secs(10),
+            phase: UpstreamPhase::Serving,
+        }),
+        state: MemberState::Alive,
+    }
+}
+
+fn encoded_size(message: &impl serde::Serialize) -> u64 {
+    rmp_serde::to_vec(message).map_or(0, |it| it.len() as u64)
+}
+
+/// Resident memory of this process in KiB; 0 where the system does not tell.
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|it| it.starts_with("VmRSS:"));
+    line.and_then(|it| it.split_whitespace().nth(1))
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/membership/src/swim/config.rs
+++ b/crates/membership/src/swim/config.rs
@@ -63,6 +63,23 @@
 }
 
 impl SwimConfig {
+    /// The default settings at another pace: all spans but the long ones follow the period.
+    #[must_use]
+    pub fn paced(period: Duration, suspicion: Duration) -> Self {
+        Self {
+            period,
+            suspicion,
+            ack_timeout: period * 3 / 10,
+            gossip_every: period / 5,
+            digest_every: period * 10,
+            late_tick: period,
+            deaf_after: period * 3,
+            alone_after: period * 10,
+            join_backoff: (period / 2, period * 10),
+            ..Self::default()
+        }
+    }
+
     /// Time that a suspect has to refute among `members`: the word has to reach it and to return.
     #[must_use]
     pub fn suspicion_for(&self, members: usize) -> Duration {
