--- a/crates/daemon/src/board.rs
+++ b/crates/daemon/src/board.rs
@@ -12,6 +12,7 @@
 use base::ZoneName;
 use base::units::unix_millis;
 use ledger::State;
+use platform::Streams;
 use protocol::announce::Announcement;
 use protocol::feed::Lease;
 use protocol::feed::TakeBackFact;
@@ -88,6 +89,17 @@
     Draining,
 }
 
+impl Me {
+    /// Streams of the log that the settings name.
+    #[must_use]
+    pub fn streams(&self) -> Streams {
+        Streams {
+            records: self.settings.log.stream.clone(),
+            snapshots: self.settings.log.snapshots.clone(),
+        }
+    }
+}
+
 impl Board {
     /// The board of a daemon that starts now.
     #[must_use]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod members;
 mod peers;
 mod run;
+mod snapshots;
 mod table;
 pub mod watch;
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,6 +22,7 @@
 use crate::local::Local;
 use crate::members::Members;
 use crate::peers::Peers;
+use crate::snapshots::SnapshotWriter;
 use crate::table;
 
 /// Time for the word to spread that this daemon is leaving, before it closes its addresses.
@@ -75,6 +76,7 @@
         let control = Control::start(&board, &upstream_side);
         let caller_side = Rc::new(CallerSide::new(&board));
         monoio::spawn(table::run(board.clone()));
+        monoio::spawn(SnapshotWriter::new(&board).run());
 
         let inner = Peers {
             calls: Rc::clone(&upstream_side),
