--- a/crates/rollout/src/trial/measure.rs
+++ b/crates/rollout/src/trial/measure.rs
@@ -76,6 +76,21 @@
     }
 }
 
+impl Row {
+    /// Calls on the faulty version up to its take-back, at a percentile.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn calls_at(&self, percent: usize) -> f64 {
+        at(&self.calls, percent) as f64
+    }
+
+    /// Seconds from the first faulty call to the take-back in force, at a percentile.
+    #[must_use]
+    pub fn ticks_at(&self, percent: usize) -> f64 {
+        f64::from(at(&self.ticks, percent))
+    }
+}
+
 impl fmt::Display for Row {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 pub mod latency;
+pub mod moves;
 pub mod proc;
 pub mod row;
 pub mod throughput;
@@ -53,6 +54,11 @@
         about: "tickets and the control plane at 8, 16 and 32 daemons",
         run: control::run,
     },
+    Measure {
+        name: "moves",
+        about: "ends of moves to good and bad versions, in simulated calls",
+        run: moves::run,
+    },
 ];
 
 const EXIT_CODES: &str =
--- /dev/null
+++ b/xtask/src/bench/moves.rs
@@ -0,0 +1,86 @@
+//! Ends of moves, from seeded trials of the controller core with simulated calls.
+//!
+//! The trials know no clock, so their rows do not depend on the machine.
+
+use std::time::Duration;
+
+use rollout::policy;
+use rollout::trial::Behaviour;
+use rollout::trial::Row as Trials;
+use rollout::trial::Trial;
+use rollout::trial::measure;
+
+use crate::bench::row::Bound;
+use crate::bench::row::Row;
+use crate::error::Result;
+use crate::process::Interrupt;
+
+/// Trials of each kind of version.
+const TRIALS: u32 = 300;
+
+/// Seed of the trials.
+const SEED: u64 = 1;
+
+const PER_THOUSAND: &str = "per 1000 moves";
+
+/// Measures.
+#[allow(clippy::unnecessary_wraps)]
+pub fn run(_interrupt: &Interrupt) -> Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    for (name, trial) in good() {
+        rows.extend(good_rows(name, &measure(&trial, TRIALS)));
+    }
+    for behaviour in Behaviour::BAD {
+        rows.extend(bad_rows(&measure(&Trial::new(behaviour, SEED), TRIALS)));
+    }
+    Ok(rows)
+}
+
+/// By day, with cold starts, and with scarce calls by night.
+fn good() -> [(&'static str, Trial); 3] {
+    let day = Trial::new(Behaviour::Good, SEED);
+    let cold = Trial {
+        cold_start: Duration::from_mins(1),
+        ..day.clone()
+    };
+    let night = Trial {
+        calls_per_second: 0.5,
+        policy: policy::glykotheke(),
+        ..day.clone()
+    };
+    [("by day", day), ("cold starts", cold), ("by night", night)]
+}
+
+fn good_rows(name: &str, trials: &Trials) -> [Row; 2] {
+    let taken_back = per_thousand(trials.taken_back, trials);
+    let on_time = per_thousand(trials.on_time, trials);
+    [
+        Row::new(
+            format!("good, {name}: taken back"),
+            taken_back,
+            PER_THOUSAND,
+        )
+        .with_bound(Bound::AtMost(1.0)),
+        Row::new(format!("good, {name}: on time"), on_time, PER_THOUSAND)
+            .with_bound(Bound::AtLeast(990.0)),
+    ]
+}
+
+fn bad_rows(trials: &Trials) -> [Row; 3] {
+    let kind = trials.behaviour;
+    let missed = per_thousand(trials.trials - trials.taken_back, trials);
+    let calls = trials.calls_at(99);
+    let seconds = trials.ticks_at(99);
+    let limit = f64::from(policy::tanoa().probe_calls);
+    [
+        Row::new(format!("bad, {kind:?}: missed"), missed, PER_THOUSAND)
+            .with_bound(Bound::AtMost(10.0)),
+        Row::new(format!("bad, {kind:?}: calls, p99"), calls, "calls")
+            .with_bound(Bound::AtMost(limit)),
+        Row::new(format!("bad, {kind:?}: time, p99"), seconds, "s"),
+    ]
+}
+
+fn per_thousand(count: u32, trials: &Trials) -> f64 {
+    f64::from(count) * 1000.0 / f64::from(trials.trials)
+}
