--- a/crates/daemon/src/feed/mod.rs
+++ b/crates/daemon/src/feed/mod.rs
@@ -11,9 +11,9 @@
 use http_edge::Response;
 use platform::LogCfg;
 
+use self::hub::Hub;
 use crate::board::Board;
 use crate::members::Members;
-use hub::Hub;
 
 /// Handle of the feed's tasks.
 pub struct Feed {
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -21,10 +21,10 @@
 use monoio::net::udp::UdpSocket;
 use protocol::codec;
 
+use self::gossip::Gossip;
+pub use self::traffic::Traffic;
 use crate::board::Board;
 use crate::watch::Watch;
-use gossip::Gossip;
-pub use traffic::Traffic;
 
 /// Datagrams and commands that wait for the gossip task.
 const EVENTS: usize = 256;
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use standin_log::Outage;
-
 use support::Fleet;
 
 /// Two readers in each of two zones.
--- a/crates/membership/examples/cost.rs
+++ b/crates/membership/examples/cost.rs
@@ -1,8 +1,9 @@
 //! Cost of membership per member: datagrams, bytes and processor time at several sizes.
 //!
-//! Run with `cargo run --release -p membership --example cost`. All members live in this process
+//! Run with `cargo run --release -p membership --example cost -- [SIZE]...`. All members live in this process
 //! and time is simulated, so the figures are those of the core without sockets. Memory is the
-//! growth of the resident set while the views are built, shared by their number.
+//! growth of the resident set while the views are built, shared by their number; it holds only for
+//! the first size and load of a process.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -63,7 +64,16 @@
 fn main() {
     println!("sent per member and second; busy: processor time; kib: memory of one view");
     println!("members load seed datagrams bytes sync-bytes busy-us kib");
-    for count in SIZES {
+    let sizes: Vec<u16> = std::env::args()
+        .skip(1)
+        .filter_map(|it| it.parse().ok())
+        .collect();
+    let sizes = if sizes.is_empty() {
+        SIZES.to_vec()
+    } else {
+        sizes
+    };
+    for count in sizes {
         for load in [Load::Quiet, Load::ZoneDies] {
             for seed in SEEDS {
                 report(count, load, seed);
--- a/crates/membership/src/feed/mod.rs
+++ b/crates/membership/src/feed/mod.rs
@@ -23,11 +23,11 @@
 use protocol::feed::Lease;
 use protocol::feed::TakeBackFact;
 
-pub use admission::Admission;
-pub use admission::Admit;
-pub use admission::Permit;
-use ring::RecordRing;
-pub use uplink::Uplink;
+pub use self::admission::Admission;
+pub use self::admission::Admit;
+pub use self::admission::Permit;
+use self::ring::RecordRing;
+pub use self::uplink::Uplink;
 
 /// Settings of a feed.
 #[derive(Debug, Clone, Copy)]
--- a/crates/membership/src/feed/uplink.rs
+++ b/crates/membership/src/feed/uplink.rs
@@ -4,9 +4,8 @@
 
 use base::DaemonId;
 
-use crate::rng::Rng;
-
 use super::ParentOffset;
+use crate::rng::Rng;
 
 /// First and longest delay after all parents were silent, before jitter.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
--- a/crates/membership/src/swim/anti_entropy.rs
+++ b/crates/membership/src/swim/anti_entropy.rs
@@ -5,6 +5,8 @@
 
 use protocol::WIRE_VERSION;
 
+use super::Output;
+use super::Swim;
 use crate::member::Member;
 use crate::message::Body;
 use crate::message::Coverage;
@@ -15,9 +17,6 @@
 use crate::message::SyncRequest;
 use crate::message::Update;
 
-use super::Output;
-use super::Swim;
-
 /// One digest in this many goes to the address of a lost member or a seed.
 const LOST_ADDRESS_ODDS: usize = 4;
 
--- a/crates/membership/src/swim/join.rs
+++ b/crates/membership/src/swim/join.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::rng::Rng;
-
 use super::SwimConfig;
+use crate::rng::Rng;
 
 /// How far a member has come with joining.
 #[derive(Debug)]
--- a/crates/membership/src/swim/mod.rs
+++ b/crates/membership/src/swim/mod.rs
@@ -25,6 +25,12 @@
 use base::FastMap;
 use base::Incarnation;
 
+pub use self::config::SwimConfig;
+use self::health::Health;
+use self::join::Join;
+use self::probe::Prober;
+use self::queue::Queue;
+use self::table::Table;
 use crate::member::Member;
 use crate::member::MemberState;
 use crate::member::UpstreamInfo;
@@ -34,13 +40,6 @@
 use crate::message::Update;
 use crate::rng::Rng;
 
-pub use config::SwimConfig;
-use health::Health;
-use join::Join;
-use probe::Prober;
-use queue::Queue;
-use table::Table;
-
 /// Members that a leaving one tells at once.
 const LEAVE_FANOUT: usize = 8;
 
--- a/crates/membership/src/swim/news.rs
+++ b/crates/membership/src/swim/news.rs
@@ -6,18 +6,17 @@
 
 use base::DaemonId;
 
-use crate::member::Member;
-use crate::member::MemberState;
-use crate::message::Body;
-use crate::message::Identity;
-use crate::message::Update;
-
 use super::Output;
 use super::Swim;
 use super::health::Standing;
 use super::table::Known;
 use super::table::Merged;
 use super::table::Tombstone;
+use crate::member::Member;
+use crate::member::MemberState;
+use crate::message::Body;
+use crate::message::Identity;
+use crate::message::Update;
 
 impl Swim {
     /// Merges a statement and tells it on when it changed something.
--- a/crates/membership/src/swim/probe.rs
+++ b/crates/membership/src/swim/probe.rs
@@ -6,11 +6,10 @@
 
 use base::DaemonId;
 
+use super::table::Table;
 use crate::message::Identity;
 use crate::rng::Rng;
 
-use super::table::Table;
-
 /// Most relayed pings that a helper keeps in mind.
 const MAX_RELAYS: usize = 64;
 
--- a/crates/membership/src/swim/probing.rs
+++ b/crates/membership/src/swim/probing.rs
@@ -5,11 +5,6 @@
 
 use base::DaemonId;
 
-use crate::member::MemberState;
-use crate::message::Body;
-use crate::message::Identity;
-use crate::message::Update;
-
 use super::Output;
 use super::Swim;
 use super::health::Standing;
@@ -17,6 +12,10 @@
 use super::probe::Probe;
 use super::probe::Stage;
 use super::table::Tombstone;
+use crate::member::MemberState;
+use crate::message::Body;
+use crate::message::Identity;
+use crate::message::Update;
 
 impl Swim {
     /// Ends the last probe and begins the next one, once in each period.
