--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -1,5 +1,11 @@
 //! Tests of the daemon's parts.
 
+mod calls;
+mod fleet;
+mod relay;
+mod start;
+mod stop;
+
 use crate::watch::Watch;
 
 #[test]
--- /dev/null
+++ b/crates/rollout/src/trial/fleet.rs
@@ -0,0 +1,79 @@
+//! The simulated service: two versions, three routes, four instances of each version.
+
+use std::collections::BTreeMap;
+
+use base::Share;
+use base::TicketNumber;
+use base::UnixMillis;
+use ledger::Entry;
+use ledger::MovePolicy;
+use ledger::Record;
+use ledger::ServiceSpec;
+use ledger::StampedRecord;
+use ledger::State;
+use ledger::Ticket;
+use smol_str::format_smolstr;
+
+use crate::controller::Slots;
+
+pub(crate) const CONTROLLER: &str = "suva-a-1";
+pub(crate) const SERVICE: &str = "bookings";
+pub(crate) const OLD: &str = "v1";
+pub(crate) const NEW: &str = "v2";
+pub(crate) const INSTANCES: usize = 4;
+const OLD_TICKET: TicketNumber = 11;
+const NEW_TICKET: TicketNumber = 12;
+const SLOTS_PER_INSTANCE: u32 = 20;
+
+/// A state in which the move has just been accepted.
+pub(crate) fn state(
+    policy: &MovePolicy,
+    started: UnixMillis,
+    finish_by: Option<UnixMillis>,
+) -> State {
+    let mut state = State::default();
+    for (number, version) in [(OLD_TICKET, OLD), (NEW_TICKET, NEW)] {
+        let spec = ServiceSpec {
+            version: version.into(),
+            finish_by,
+            policy: policy.clone(),
+        };
+        let ticket = Ticket {
+            ticket: number,
+            services: BTreeMap::from([(SERVICE.into(), spec)]),
+            routes: BTreeMap::new(),
+            remove_services: Vec::new(),
+            remove_routes: Vec::new(),
+        };
+        apply(&mut state, Record::Ticket(ticket), started);
+    }
+    state
+}
+
+pub(crate) fn share(state: &State) -> Share {
+    state.services[SERVICE]
+        .moving
+        .as_ref()
+        .map_or(0, |moving| moving.share)
+}
+
+pub(crate) fn slots(warm_instances: usize) -> Slots {
+    let of = |instances: usize| SLOTS_PER_INSTANCE * u32::try_from(instances).unwrap_or(0);
+    BTreeMap::from([
+        ((SERVICE.into(), OLD.into()), of(INSTANCES)),
+        ((SERVICE.into(), NEW.into()), of(warm_instances)),
+    ])
+}
+
+/// Folds a record in, as if it had just been appended.
+pub(crate) fn apply(state: &mut State, record: Record, at: UnixMillis) {
+    let entry = Entry {
+        id: format_smolstr!("trial/{}", state.next),
+        at,
+        record,
+    };
+    state.apply(&StampedRecord {
+        offset: state.next,
+        entry: Some(entry),
+    });
+}
--- a/xtask/src/demo/tickets.rs
+++ b/xtask/src/demo/tickets.rs
@@ -11,12 +11,12 @@
 use base::units::unix_millis;
 use ledger::Ticket;
 
-use crate::demo::Result;
-use crate::demo::error::DemoError;
-use crate::demo::fleet::Fleet;
-use crate::demo::process::Interrupt;
-use crate::demo::process::Process;
-use crate::demo::process::log_path;
+use crate::error::Result;
+use crate::error::TaskError;
+use crate::fleet::Fleet;
+use crate::process::Interrupt;
+use crate::process::Process;
+use crate::process::log_path;
 use crate::steps::root;
 
 /// Second ticket: bookings to a good version.
@@ -25,7 +25,7 @@
 pub const BAD: TicketNumber = 3;
 
 /// Time that the good version's move is given.
-pub const MOVE_TIME: Duration = Duration::from_secs(15);
+pub const MOVE_TIME: Duration = Duration::from_secs(20);
 
 /// How long a version is watched after it got all calls.
 const WATCH: Duration = Duration::from_secs(3);
@@ -38,6 +38,15 @@
     example("1-tanoa-start.yaml")
 }
 
+/// Another ticket with the first one's number; the same one again would be found accepted.
+pub fn late() -> Result<Ticket> {
+    let mut ticket = start()?;
+    for route in ticket.routes.values_mut() {
+        route.timeout *= 2;
+    }
+    Ok(ticket)
+}
+
 /// The second example with a time that lies near.
 pub fn good() -> Result<Ticket> {
     let mut ticket = example("2-tanoa-bookings-v2.yaml")?;
@@ -64,15 +73,15 @@
 fn example(name: &str) -> Result<Ticket> {
     let path = root().join("examples/tickets").join(name);
     let text =
-        fs::read_to_string(&path).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
-    serde_yaml_ng::from_str(&text).map_err(|e| DemoError::Broken(format!("{name}: {e}")))
+        fs::read_to_string(&path).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
+    serde_yaml_ng::from_str(&text).map_err(|e| TaskError::Broken(format!("{name}: {e}")))
 }
 
 /// Writes a ticket into a file.
 pub fn write(fleet: &Fleet, name: &str, ticket: &Ticket) -> Result<PathBuf> {
     let path = fleet.dir().join(format!("{name}.yaml"));
-    let text = serde_yaml_ng::to_string(ticket).map_err(|e| DemoError::Broken(e.to_string()))?;
-    fs::write(&path, text).map_err(|e| DemoError::Io(path.display().to_string(), e))?;
+    let text = serde_yaml_ng::to_string(ticket).map_err(|e| TaskError::Broken(e.to_string()))?;
+    fs::write(&path, text).map_err(|e| TaskError::Io(path.display().to_string(), e))?;
     Ok(path)
 }
 
@@ -123,10 +132,11 @@
     let status = Command::new(fleet.program("bronzehead"))
         .args(["ticket", "check"])
         .arg(file)
+        .args(["--log", &fleet.log().to_string()])
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .status()
-        .map_err(|e| DemoError::Io("bronzehead".to_owned(), e))?;
+        .map_err(|e| TaskError::Io("bronzehead".to_owned(), e))?;
     Ok(status.code().unwrap_or(-1))
 }
 
