--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,6 +22,7 @@
 use crate::local::Local;
 use crate::members::Members;
 use crate::peers::Peers;
+use crate::snapshots::SnapshotWriter;
 use crate::table;
 
 /// Time for the word to spread that this daemon is leaving, before it closes its addresses.
@@ -70,11 +71,12 @@
         let board = Board::new(settings);
 
         let members = Members::start(&board).map_err(|source| at(listen.peers, source))?;
-        let feed = Feed::start(&board);
+        let feed = Feed::start(&board, &members);
         let upstream_side = Rc::new(UpstreamSide::new(&board));
         let control = Control::start(&board, &upstream_side);
         let caller_side = Rc::new(CallerSide::new(&board));
         monoio::spawn(table::run(board.clone()));
+        monoio::spawn(SnapshotWriter::new(&board).run());
 
         let inner = Peers {
             calls: Rc::clone(&upstream_side),
