--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -6,10 +6,13 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use monoio::io::Splitable;
 use monoio::net::ListenerOpts;
@@ -24,6 +27,12 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a closing server waits for the next connection that the system holds for it.
+const BACKLOG_POLL: Duration = Duration::from_millis(1);
+
+/// How long it takes such connections at most.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
+
 /// How often [`Server::close`] looks whether the last request has ended.
 const CLOSE_POLL: Duration = Duration::from_millis(5);
 
@@ -78,6 +87,8 @@
     draining: Latch,
     /// No new connections, idle ones are closed.
     closing: Latch,
+    /// The listening socket is gone.
+    not_listening: Latch,
     connections: Cell<usize>,
     requests: Cell<usize>,
 }
@@ -102,11 +113,14 @@
     }
 
     /// Stops to listen, lets requests under way end within `patience`, and closes.
+    ///
+    /// Requests that are still on their way when this begins are answered too.
     pub async fn close(self, patience: Duration) {
         self.shared.draining.set();
         self.shared.closing.set();
         let all_ended = async {
-            while self.shared.requests.get() > 0 {
+            self.shared.not_listening.wait().await;
+            while self.shared.requests.get() > 0 || self.shared.connections.get() > 0 {
                 monoio::time::sleep(CLOSE_POLL).await;
             }
         };
@@ -123,29 +137,59 @@
 ) {
     loop {
         let accepted = monoio::select! {
-            () = shared.closing.wait() => return,
+            () = shared.closing.wait() => break,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => spawn_connection(stream, &handler, cfg, &shared),
             Err(e) => {
                 log::warn!("http: accept failed: {e}");
                 monoio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        if shared.connections.get() >= cfg.connections {
-            log::warn!("http: too many connections, closed one");
-            continue;
         }
-        let guard = CountGuard::new(&shared, |shared| &shared.connections);
-        let handler = Rc::clone(&handler);
-        let shared = Rc::clone(&shared);
-        monoio::spawn(async move {
-            serve_connection(stream, handler, cfg, shared).await;
-            drop(guard);
-        });
     }
+    // Connections that the system has taken for us would be reset with the listener.
+    let end = Instant::now() + BACKLOG_TIME;
+    while Instant::now() < end {
+        match monoio::time::timeout(BACKLOG_POLL, listener.accept()).await {
+            Ok(Ok((stream, _))) => spawn_connection(stream, &handler, cfg, &shared),
+            _ => break,
+        }
+    }
+    while let Some(stream) = accept_now(&listener).await {
+        spawn_connection(stream, &handler, cfg, &shared);
+    }
+    drop(listener);
+    shared.not_listening.set();
+}
+
+/// A connection that waits already; gives no other task a turn, so that the listener can go with
+/// none left.
+async fn accept_now(listener: &TcpListener) -> Option<TcpStream> {
+    let mut accept = std::pin::pin!(listener.accept());
+    match poll_fn(|cx| Poll::Ready(accept.as_mut().poll(cx))).await {
+        Poll::Ready(Ok((stream, _))) => Some(stream),
+        _ => None,
+    }
+}
+
+fn spawn_connection<H: Handler>(
+    stream: TcpStream,
+    handler: &Rc<H>,
+    cfg: ServerCfg,
+    shared: &Rc<Shared>,
+) {
+    if shared.connections.get() >= cfg.connections {
+        log::warn!("http: too many connections, closed one");
+        return;
+    }
+    let guard = CountGuard::new(shared, |shared| &shared.connections);
+    let handler = Rc::clone(handler);
+    let shared = Rc::clone(shared);
+    monoio::spawn(async move {
+        serve_connection(stream, handler, cfg, shared).await;
+        drop(guard);
+    });
 }
 
 async fn serve_connection<H: Handler>(
--- a/crates/http-edge/src/server/answering.rs
+++ b/crates/http-edge/src/server/answering.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -23,6 +24,10 @@
 use crate::server::reading::After;
 use crate::server::reading::Incoming;
 
+/// How long a closing server waits for a request on an open connection: one that was sent before
+/// its client could know of the close is on its way by then.
+const LINGER: Duration = Duration::from_millis(250);
+
 type Writer = OwnedWriteHalf<TcpStream>;
 
 /// Answers requests in their order, one at a time.
@@ -37,10 +42,7 @@
         let incoming = if pipelined.is_some() {
             pipelined.take()
         } else {
-            monoio::select! {
-                incoming = rx.take() => incoming,
-                () = shared.closing.wait() => None,
-            }
+            next_request(&mut rx, &shared).await
         };
         let Some(incoming) = incoming else { return };
         let guard = CountGuard::new(&shared, |shared| &shared.requests);
@@ -60,6 +62,15 @@
     }
 }
 
+/// The next request; `None` when the client has gone, or none came by the end of a close.
+async fn next_request(rx: &mut Taker<Incoming>, shared: &Shared) -> Option<Incoming> {
+    monoio::select! {
+        incoming = rx.take() => return incoming,
+        () = shared.closing.wait() => {}
+    }
+    monoio::time::timeout(LINGER, rx.take()).await.ok()?
+}
+
 enum Next {
     Close,
     Go,
--- a/crates/routing/src/tests/balancer.rs
+++ b/crates/routing/src/tests/balancer.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use protocol::call::Load;
+use protocol::call::NotRunReason;
 
 use super::endpoint;
 use crate::balancer::Balancer;
@@ -125,16 +126,27 @@
 }
 
 #[test]
-fn silent_peer_is_avoided_until_it_answers() {
+fn silent_peer_is_avoided_and_tried_again_after_a_growing_time() {
     let start = Instant::now();
     let all = instances(&["suva-a"; 2], start);
     let mut balancer = balancer();
-    balancer.failed(&all[0], &all, Failure::Silent, start);
-    let later = start + Duration::from_mins(1);
-    assert_eq!(chosen(&balancer, &all, later), "b");
-    assert_eq!(chosen(&balancer, &all[..1], later), "a");
+    let mut now = start;
+    for seconds in [1, 2, 4] {
+        balancer.failed(&all[0], &all, Failure::Silent, now);
+        assert_eq!(chosen(&balancer, &all, now), "b", "{seconds} s");
+        assert_eq!(chosen(&balancer, &all[..1], now), "a", "{seconds} s");
+        let early = now + Duration::from_millis(seconds * 1000 - 1);
+        assert_eq!(chosen(&balancer, &all, early), "b", "{seconds} s");
+        now += Duration::from_secs(seconds);
+        assert_eq!(chosen(&balancer, &all, now), "a b", "{seconds} s");
+    }
+    // When all are silent, each is still tried.
+    for silent in &all {
+        balancer.failed(silent, &all, Failure::Silent, now);
+    }
+    assert_eq!(chosen(&balancer, &all, now), "a b");
     balancer.succeeded(&all[0]);
-    assert_eq!(chosen(&balancer, &all, later), "a b");
+    assert_eq!(chosen(&balancer, &all, now), "a");
 }
 
 #[test]
@@ -143,7 +155,7 @@
     let mut all = instances(&["suva-a"; 4], now);
     let mut balancer = balancer();
     all[1].phase = EndpointPhase::Leaving;
-    balancer.refused_as_leaving(&all[2]);
+    balancer.refused(&all[2], &all, NotRunReason::Leaving, now);
     let choice = balancer.choose(&all, &["d".into()], Draws(1, 1), now);
     assert_eq!(choice, Choice::To(&all[0]));
     let choice = balancer.choose(&all, &["a".into(), "d".into()], Draws(1, 1), now);
