Count calls, control bytes and log requests in the daemon

Cause: /metrics was empty and /history missing, so the burn report had nothing to read and control bytes could not be measured.

Change: a meter that all parts count in. Sizes of control messages are those of the whole HTTP message; probes are counted as datagrams. The feed now reads the streams that the settings name.

--- a/crates/daemon/src/board.rs
+++ b/crates/daemon/src/board.rs
@@ -22,6 +22,7 @@
 use routing::Table;
 use settings::Settings;
 
+use crate::meter::Meter;
 use crate::watch::Watch;
 
 /// Values that one part writes and others read.
@@ -45,6 +46,8 @@
     pub table: Watch<Table>,
     /// Whether this daemon is leaving.
     pub leaving: Watch<Leaving>,
+    /// Metrics and history, which all parts count in.
+    pub meter: Rc<Meter>,
     lease_watch: Rc<RefCell<LeaseWatch>>,
 }
 
@@ -123,6 +126,7 @@
             upstream: Watch::default(),
             table: Watch::default(),
             leaving: Watch::default(),
+            meter: Rc::default(),
             lease_watch: Rc::default(),
         }
     }
--- a/crates/daemon/src/calls/caller.rs
+++ b/crates/daemon/src/calls/caller.rs
@@ -22,6 +22,7 @@
 use protocol::call::CALL_ID_HEADER;
 use protocol::call::NotRunReason;
 use rand::Rng;
+use report::metrics::CallOutcome;
 use routing::Balancer;
 use routing::Endpoint;
 use routing::HedgePolicy;
@@ -106,14 +107,21 @@
             prefix: matched.prefix.clone(),
             route: matched.route.clone(),
         };
-        let until = Instant::now() + timeout;
+        let service = matched.route.service.clone();
+        let arrived = Instant::now();
+        let until = arrived + timeout;
         let call = Call::start(&self.shared, req, id.clone(), matched, until);
         let (end, answer) = call.finish().await;
-        let res = match (end, answer) {
-            (Final::Answer(_), Some(answer)) => answer,
-            (Final::NotRun(not_run), _) => wire::not_run_response(&not_run),
-            _ => wire::unknown_response(),
+        let (outcome, res) = match (end, answer) {
+            (Final::Answer(_), Some(answer)) if answer.status.is_server_error() => {
+                (CallOutcome::Failed, answer)
+            }
+            (Final::Answer(_), Some(answer)) => (CallOutcome::Answered, answer),
+            (Final::NotRun(not_run), _) => (CallOutcome::NotRun, wire::not_run_response(&not_run)),
+            _ => (CallOutcome::Unknown, wire::unknown_response()),
         };
+        let meter = &self.shared.board.meter;
+        meter.call(&service, outcome, arrived.elapsed());
         res.with_header(CALL_ID_HEADER, &id)
     }
 }
--- a/crates/daemon/src/control/reporting.rs
+++ b/crates/daemon/src/control/reporting.rs
@@ -186,7 +186,8 @@
             return;
         };
         let body = codec::encode(&Message::Evidence(reports));
-        monoio::spawn(send(Rc::clone(&self.pool), peer.address, body));
+        let meter = Rc::clone(&self.board.meter);
+        monoio::spawn(send(Rc::clone(&self.pool), peer.address, body, meter));
     }
 }
 
--- a/crates/daemon/src/control/spreading.rs
+++ b/crates/daemon/src/control/spreading.rs
@@ -9,9 +9,12 @@
 use http_edge::Request;
 use protocol::codec;
 use protocol::paths;
+use report::metrics::Direction;
+use report::metrics::Purpose;
 
 use crate::board::Board;
 use crate::control::Message;
+use crate::meter::Meter;
 
 /// Longest exchange with one peer; a lease that comes later is overtaken by the next one.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
@@ -44,19 +47,29 @@
         let peers = self.board.peers.get();
         let others = peers.iter().filter(|peer| peer.address != own);
         for peer in others.take(DIRECT_PEERS) {
-            monoio::spawn(send(Rc::clone(&self.pool), peer.address, body.clone()));
+            let meter = Rc::clone(&self.board.meter);
+            monoio::spawn(send(
+                Rc::clone(&self.pool),
+                peer.address,
+                body.clone(),
+                meter,
+            ));
         }
     }
 }
 
 /// Sends one message to the control part of another daemon; a lost one is made good by the next.
-pub(super) async fn send(pool: Rc<Pool>, address: SocketAddr, body: Bytes) {
+pub(super) async fn send(pool: Rc<Pool>, address: SocketAddr, body: Bytes, meter: Rc<Meter>) {
     let Ok(mut conn) = pool.take(address).await else {
         return;
     };
     let req = Request::post(paths::EVIDENCE, body);
+    meter.control(Purpose::Evidence, Direction::Sent, req.wire_size());
     match conn.call(req, SEND_TIMEOUT).await {
-        Ok(_) => pool.put(conn),
+        Ok(res) => {
+            meter.control(Purpose::Evidence, Direction::Received, res.wire_size());
+            pool.put(conn);
+        }
         Err(e) => {
             log::info!("control: no answer from {address}: {e}");
             conn.close();
--- a/crates/daemon/src/feed/hub.rs
+++ b/crates/daemon/src/feed/hub.rs
@@ -8,6 +8,7 @@
 use base::DaemonId;
 use base::Offset;
 use base::hash;
+use ledger::Applied;
 use ledger::StampedRecord;
 use ledger::State;
 use membership::feed::Admission;
@@ -151,6 +152,9 @@
         for record in records {
             let applied = state.apply(record);
             log::info!("feed: offset {}: {applied:?}", record.offset);
+            if let (Applied::Accepted, Some(entry)) = (&applied, &record.entry) {
+                self.board.meter.converged(entry.at);
+            }
         }
         self.board.state.set(state);
     }
--- a/crates/daemon/src/feed/log_reader.rs
+++ b/crates/daemon/src/feed/log_reader.rs
@@ -7,6 +7,8 @@
 use membership::Role;
 use platform::Follower;
 use platform::Progress;
+use platform::Usage;
+use report::metrics::LogRequest;
 
 use super::hub::Hub;
 use super::log_cfg;
@@ -30,8 +32,14 @@
 async fn read(hub: &Hub, members: &Members) {
     log::info!("feed: reads the log");
     let mut follower = follower(hub);
+    let mut usage = Usage::default();
     while is_reader(members) {
-        match follower.advance(LONG_POLL).await {
+        let progress = follower.advance(LONG_POLL).await;
+        usage = hub
+            .board
+            .meter
+            .log(LogRequest::Read, usage, follower.log().usage());
+        match progress {
             Progress::Folded(folded) => hub.fold(folded.into_iter().map(|it| it.record).collect()),
             Progress::Restored => hub.load(follower.state()),
             Progress::Failed(e) => {
@@ -39,6 +47,7 @@
                 // A peer may have brought what the log could not.
                 if hub.next() > follower.state().next {
                     follower = self::follower(hub);
+                    usage = Usage::default();
                 }
             }
             Progress::CaughtUp | Progress::NoSnapshot | Progress::Waited => {}
@@ -50,10 +59,12 @@
 fn follower(hub: &Hub) -> Follower {
     let address = hub.board.me.settings.log.address;
     let cfg = log_cfg(&hub.board);
+    let streams = hub.board.me.streams();
     if hub.next() == 0 {
-        return Follower::cold(address, cfg);
+        return Follower::cold(address, cfg).with_streams(&streams);
     }
-    Follower::resume(address, cfg, State::clone(&hub.board.state.get()))
+    let state = State::clone(&hub.board.state.get());
+    Follower::resume(address, cfg, state).with_streams(&streams)
 }
 
 fn is_reader(members: &Members) -> bool {
--- a/crates/daemon/src/feed/pull.rs
+++ b/crates/daemon/src/feed/pull.rs
@@ -16,11 +16,14 @@
 use protocol::codec;
 use protocol::feed::FeedReply;
 use protocol::paths;
+use report::metrics::Direction;
+use report::metrics::Purpose;
 
 use super::hub::CFG;
 use super::hub::Hub;
 use crate::members::Members;
 use crate::members::Placement;
+use crate::meter::Meter;
 
 /// Time for an answer beside the time for which the parent may hold the request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -83,7 +86,9 @@
 async fn exchange(hub: &Hub, pool: &Pool, uplink: &Uplink, parent: &DaemonId) -> Option<FeedReply> {
     let address = hub.address_of(parent)?;
     let req = Request::post(paths::FEED, codec::encode(&hub.request(uplink)));
-    let reply = call(pool, address, req).await;
+    let meter = &hub.board.meter;
+    meter.control(Purpose::Feed, Direction::Sent, req.wire_size());
+    let reply = call(pool, address, req, meter).await;
     if reply.is_none() {
         // Whatever made this connection silent may have hit the idle ones too.
         pool.forget(address);
@@ -91,10 +96,11 @@
     reply
 }
 
-async fn call(pool: &Pool, address: SocketAddr, req: Request) -> Option<FeedReply> {
+async fn call(pool: &Pool, address: SocketAddr, req: Request, meter: &Meter) -> Option<FeedReply> {
     let mut conn = pool.take(address).await.ok()?;
     let res = conn.call(req, CFG.hold + ANSWER_TIMEOUT).await.ok()?;
     pool.put(conn);
+    meter.control(Purpose::Feed, Direction::Received, res.wire_size());
     if res.status != StatusCode::OK {
         return None;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod feed;
 mod local;
 pub mod members;
+pub mod meter;
 mod peers;
 mod run;
 mod snapshots;
--- a/crates/daemon/src/local.rs
+++ b/crates/daemon/src/local.rs
@@ -16,6 +16,7 @@
 use protocol::status::MemberStatus;
 use protocol::status::STATUS_PATH;
 use protocol::status::Status;
+use report::history::HISTORY_PATH;
 
 use crate::board::Board;
 
@@ -98,7 +99,8 @@
         match (&req.method, req.path()) {
             (&Method::POST, ANNOUNCE_PATH) => self.announce(&req),
             (&Method::GET, STATUS_PATH) => self.status(),
-            (&Method::GET, METRICS_PATH) => Response::text(StatusCode::OK, ""),
+            (&Method::GET, METRICS_PATH) => self.board.meter.text(),
+            (&Method::GET, HISTORY_PATH) => self.board.meter.history(),
             _ => Response::text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -73,7 +73,7 @@
         let members = Rc::new(Self {
             tx: tx.clone(),
             placement: Watch::default(),
-            traffic: Rc::default(),
+            traffic: Rc::new(Traffic::new(&board.meter)),
         });
         monoio::spawn(gossip::receive(
             Rc::clone(&socket),
--- a/crates/daemon/src/members/traffic.rs
+++ b/crates/daemon/src/members/traffic.rs
@@ -1,10 +1,17 @@
 //! Counts of control messages.
 
 use std::cell::Cell;
+use std::rc::Rc;
+
+use report::metrics::Direction;
+use report::metrics::Purpose;
+
+use crate::meter::Meter;
 
 /// Messages and their encoded bytes, without headers of the transport.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Traffic {
+    meter: Rc<Meter>,
     sent_messages: Cell<u64>,
     sent_bytes: Cell<u64>,
     received_messages: Cell<u64>,
@@ -12,6 +19,13 @@
 }
 
 impl Traffic {
+    pub(crate) fn new(meter: &Rc<Meter>) -> Self {
+        Self {
+            meter: Rc::clone(meter),
+            ..Self::default()
+        }
+    }
+
     /// Messages sent.
     #[must_use]
     pub fn sent_messages(&self) -> u64 {
@@ -39,11 +53,15 @@
     pub(crate) fn sent(&self, bytes: usize) {
         add(&self.sent_messages, 1);
         add(&self.sent_bytes, bytes);
+        self.meter
+            .control(Purpose::Probe, Direction::Sent, bytes as u64);
     }
 
     pub(crate) fn received(&self, bytes: usize) {
         add(&self.received_messages, 1);
         add(&self.received_bytes, bytes);
+        self.meter
+            .control(Purpose::Probe, Direction::Received, bytes as u64);
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/meter.rs
@@ -0,0 +1,140 @@
+//! Counts what the parts of a daemon do, for its metrics and its history of calls.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use base::ServiceName;
+use base::UnixMillis;
+use base::units::unix_millis;
+use http::StatusCode;
+use http_edge::Response;
+use platform::Usage;
+use report::Metrics;
+use report::history::CallResult;
+use report::history::History;
+use report::metrics::CallOutcome;
+use report::metrics::Direction;
+use report::metrics::LogRequest;
+use report::metrics::Purpose;
+use report::metrics::Standing;
+
+use crate::board::Board;
+
+/// Metrics and history of one daemon.
+pub struct Meter {
+    /// `None` where the metrics could not be set up; the daemon goes on without them.
+    metrics: Option<Metrics>,
+    history: RefCell<History>,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        let metrics = Metrics::new();
+        if let Err(e) = &metrics {
+            log::error!("daemon: no metrics: {e}");
+        }
+        Self {
+            metrics: metrics.ok(),
+            history: RefCell::new(History::new(now())),
+        }
+    }
+}
+
+impl Meter {
+    /// Counts the final answer of a call.
+    pub fn call(&self, service: &ServiceName, outcome: CallOutcome, took: Duration) {
+        let result = match outcome {
+            CallOutcome::Answered => CallResult::Good,
+            CallOutcome::Failed | CallOutcome::NotRun | CallOutcome::Unknown => CallResult::Bad,
+        };
+        self.history.borrow_mut().add(service, result, now());
+        self.with(|metrics| metrics.call(service, outcome, took));
+    }
+
+    /// Counts bytes of the control plane.
+    pub fn control(&self, purpose: Purpose, direction: Direction, bytes: u64) {
+        self.with(|metrics| metrics.control(purpose, direction, bytes));
+    }
+
+    /// Counts what a client of the log cost since `before`, and returns what it cost by now.
+    pub fn log(&self, kind: LogRequest, before: Usage, after: Usage) -> Usage {
+        self.control(Purpose::Log, Direction::Sent, after.sent - before.sent);
+        self.control(
+            Purpose::Log,
+            Direction::Received,
+            after.received - before.received,
+        );
+        self.with(|metrics| {
+            for _ in before.requests..after.requests {
+                metrics.log_request(kind);
+            }
+        });
+        after
+    }
+
+    /// Counts a ticket that came into force here.
+    pub fn converged(&self, published: UnixMillis) {
+        let took = Duration::from_millis(now().saturating_sub(published));
+        self.with(|metrics| metrics.converged(took));
+    }
+
+    /// The metrics in text form.
+    pub(crate) fn text(&self) -> Response {
+        match self.metrics.as_ref().map(Metrics::text) {
+            Some(Ok(text)) => Response::text(StatusCode::OK, text),
+            Some(Err(e)) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+            None => Response::text(StatusCode::NOT_FOUND, "no metrics"),
+        }
+    }
+
+    /// The history of calls as JSON.
+    pub(crate) fn history(&self) -> Response {
+        match serde_json::to_vec(self.history.borrow().view()) {
+            Ok(text) => Response::json(StatusCode::OK, text),
+            Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        }
+    }
+
+    fn with(&self, f: impl FnOnce(&Metrics)) {
+        if let Some(metrics) = &self.metrics {
+            f(metrics);
+        }
+    }
+}
+
+/// Keeps the values that say where the daemon stands.
+pub(crate) async fn run(board: Board) {
+    let counted = Cell::new(0);
+    loop {
+        let state = board.state.revision();
+        let peers = board.peers.revision();
+        stand(&board, &counted);
+        monoio::select! {
+            _ = board.state.newer_than(state) => {}
+            _ = board.peers.newer_than(peers) => {}
+        }
+    }
+}
+
+fn stand(board: &Board, counted: &Cell<UnixMillis>) {
+    let state = board.state.get();
+    board.meter.with(|metrics| {
+        metrics.standing(Standing {
+            ticket: state.ticket,
+            next: state.next,
+            epoch: state.epoch,
+            members: board.peers.get().len() as u64,
+        });
+        let last = counted.get();
+        for report in state.ends.iter().filter(|report| report.at > last) {
+            metrics.move_ended(&report.service, &report.end);
+            counted.set(counted.get().max(report.at));
+        }
+    });
+}
+
+fn now() -> UnixMillis {
+    unix_millis(SystemTime::now())
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,6 +21,7 @@
 use crate::feed::Feed;
 use crate::local::Local;
 use crate::members::Members;
+use crate::meter;
 use crate::peers::Peers;
 use crate::snapshots::SnapshotWriter;
 use crate::table;
@@ -76,6 +77,7 @@
         let control = Control::start(&board, &upstream_side);
         let caller_side = Rc::new(CallerSide::new(&board));
         monoio::spawn(table::run(board.clone()));
+        monoio::spawn(meter::run(board.clone()));
         monoio::spawn(SnapshotWriter::new(&board).run());
 
         let inner = Peers {
@@ -83,6 +85,7 @@
             feed,
             members: Rc::clone(&members),
             control,
+            meter: Rc::clone(&board.meter),
         };
         Ok(Self {
             peers: open(listen.peers, inner.into(), cfg)?,
--- a/crates/http-edge/src/message.rs
+++ b/crates/http-edge/src/message.rs
@@ -75,6 +75,13 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
+
+    /// Bytes that the request takes on a connection, without those of TCP.
+    #[must_use]
+    pub fn wire_size(&self) -> u64 {
+        let line = self.method.as_str().len() + self.target.len() + " HTTP/1.1\r\n ".len();
+        (line + headers_size(&self.headers) + self.body.len()) as u64
+    }
 }
 
 /// A response with its whole body.
@@ -129,4 +136,19 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
+
+    /// Bytes that the response takes on a connection, without those of TCP.
+    #[must_use]
+    pub fn wire_size(&self) -> u64 {
+        let reason = self.status.canonical_reason().unwrap_or("").len();
+        let line = "HTTP/1.1 200 \r\n".len() + reason;
+        (line + headers_size(&self.headers) + self.body.len()) as u64
+    }
+}
+
+/// Bytes of the headers, with the length that the encoder adds and the blank line.
+fn headers_size(headers: &HeaderMap) -> usize {
+    let size = |name: &HeaderName, value: &HeaderValue| name.as_str().len() + value.len() + 4;
+    let all: usize = headers.iter().map(|(name, value)| size(name, value)).sum();
+    all + "content-length: 100\r\n\r\n".len()
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,5 +1,6 @@
 //! Appends to and reads from one stream of the log.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -68,6 +69,17 @@
     pub oldest: Offset,
 }
 
+/// What a client has cost so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests that were sent.
+    pub requests: u64,
+    /// Bytes of the requests, without those of TCP.
+    pub sent: u64,
+    /// Bytes of the answers, without those of TCP.
+    pub received: u64,
+}
+
 /// A client of one stream.
 pub struct LogClient {
     address: SocketAddr,
@@ -75,6 +87,7 @@
     cfg: LogCfg,
     pool: Pool,
     backoff: RefCell<Backoff>,
+    usage: Cell<Usage>,
 }
 
 impl LogClient {
@@ -96,6 +109,7 @@
             cfg,
             pool,
             backoff: RefCell::new(Backoff::new(cfg.backoff, cfg.seed)),
+            usage: Cell::default(),
         }
     }
 
@@ -111,6 +125,12 @@
         self.address
     }
 
+    /// What the client has cost so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        self.usage.get()
+    }
+
     /// Appends an entry; see [`LogClient::append_text`].
     ///
     /// # Errors
@@ -215,9 +235,16 @@
     async fn send(&self, req: Request, timeout: Duration) -> Result<Response, SendError> {
         let conn = self.pool.take(self.address).await;
         let mut conn = conn.map_err(|e| SendError::NotSent(e.into()))?;
+        let mut usage = self.usage.get();
+        usage.requests += 1;
+        usage.sent += req.wire_size();
+        self.usage.set(usage);
         match conn.call(req, timeout).await {
             Ok(res) => {
                 self.pool.put(conn);
+                let mut usage = self.usage.get();
+                usage.received += res.wire_size();
+                self.usage.set(usage);
                 Ok(res)
             }
             Err(e) => {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,6 +22,7 @@
 pub use client::LogCfg;
 pub use client::LogClient;
 pub use client::Page;
+pub use client::Usage;
 pub use error::AppendError;
 pub use error::LogError;
 pub use follower::Follower;
