Let the controller tell the readers of each zone alone

Cause: the controller renewed its lease with up to 64 peers by itself. Measured over 9 peers it sent 121 B/s and received 64 B/s for each, so 64 peers make 11.8 kB/s, next to nothing left of the 13 kB/s of a daemon.

Ruled out: fewer peers in the order of their names. They need not hold a reader of each zone.

Change: the readers of each zone by rank; the feed passes lease and take-backs on at once. With the cut to the readers taken out, the test fails with '64 daemons: {zone-0: 11, ...}'.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -29,6 +29,8 @@
 use crate::control::deciding::Decider;
 use crate::control::reporting::Reporter;
 use crate::control::spreading::Spreader;
+#[cfg(test)]
+pub(crate) use crate::control::spreading::readers;
 
 /// What one daemon's control part tells another's.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/daemon/src/control/spreading.rs
+++ b/crates/daemon/src/control/spreading.rs
@@ -1,27 +1,28 @@
 //! Sends the lease and the take-backs to the other daemons.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::ZoneName;
 use bytes::Bytes;
 use http_edge::Pool;
 use http_edge::Request;
+use membership::fanout::rank;
 use protocol::codec;
 use protocol::paths;
 use report::metrics::Direction;
 use report::metrics::Purpose;
 
 use crate::board::Board;
+use crate::board::Peer;
 use crate::control::Message;
 use crate::meter::Meter;
 
 /// Longest exchange with one peer; a lease that comes later is overtaken by the next one.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Peers that the holder tells itself; the feed passes the word on to the rest.
-const DIRECT_PEERS: usize = 64;
-
 /// Tells peers, each in a task of its own, so that a silent one delays no other.
 pub(super) struct Spreader {
     board: Board,
@@ -43,10 +44,14 @@
             facts: self.board.facts.get().iter().cloned().collect(),
         };
         let body = codec::encode(&message);
-        let own = self.board.me.settings.listen.peers;
+        let settings = &self.board.me.settings;
+        let per_zone = settings.fanout.readers_per_zone as usize;
         let peers = self.board.peers.get();
-        let others = peers.iter().filter(|peer| peer.address != own);
-        for peer in others.take(DIRECT_PEERS) {
+        let readers = readers(&peers, per_zone);
+        for peer in readers
+            .into_iter()
+            .filter(|it| it.daemon != settings.daemon)
+        {
             let meter = Rc::clone(&self.board.meter);
             monoio::spawn(send(
                 Rc::clone(&self.pool),
@@ -58,6 +63,20 @@
     }
 }
 
+/// The readers of all zones: what they hear, the feed passes on to the rest. So the holder's cost
+/// grows with zones, not with daemons.
+pub(crate) fn readers(peers: &[Peer], per_zone: usize) -> Vec<&Peer> {
+    let mut zones: BTreeMap<&ZoneName, Vec<&Peer>> = BTreeMap::new();
+    for peer in peers {
+        zones.entry(&peer.zone).or_default().push(peer);
+    }
+    for zone in zones.values_mut() {
+        zone.sort_by_key(|peer| rank(&peer.daemon));
+        zone.truncate(per_zone);
+    }
+    zones.into_values().flatten().collect()
+}
+
 /// Sends one message to the control part of another daemon; a lost one is made good by the next.
 pub(super) async fn send(pool: Rc<Pool>, address: SocketAddr, body: Bytes, meter: Rc<Meter>) {
     let Ok(mut conn) = pool.take(address).await else {
--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod fleet;
 mod relay;
+mod spreading;
 mod start;
 mod stop;
 
