Honour the limits of the settings for calls, and bound the lease

Cause: limits.connections_per_peer and limits.memory_of_calls were read and used by nobody, answers were held to default sizes whatever max_body said, and a client's head just under max_head was refused between daemons, since the system adds headers of its own. Nothing kept timing.lease below the life of the controller's lease, on which the share's expiry rests.

Change: pools, answers and the memory of attempts take their bounds from the settings; the inner address has 4 KiB more for heads; a lease of 4 s or more is refused.

--- a/crates/daemon/src/board.rs
+++ b/crates/daemon/src/board.rs
@@ -11,6 +11,8 @@
 use base::Incarnation;
 use base::ZoneName;
 use base::units::unix_millis;
+use http_edge::Limits;
+use http_edge::PoolCfg;
 use ledger::State;
 use platform::Streams;
 use protocol::announce::Announcement;
@@ -25,6 +27,9 @@
 use crate::meter::Meter;
 use crate::watch::Watch;
 
+/// Bytes of the headers that the system adds to a call or an answer.
+const INNER_HEADERS: usize = 4 * 1024;
+
 /// Values that one part writes and others read.
 #[derive(Clone)]
 pub struct Board {
@@ -93,6 +98,38 @@
 }
 
 impl Me {
+    /// Sizes of calls and of their answers.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let bytes = |size: u64| usize::try_from(size).unwrap_or(usize::MAX);
+        Limits {
+            head: bytes(self.settings.limits.max_head),
+            body: bytes(self.settings.limits.max_body),
+        }
+    }
+
+    /// Sizes between daemons: a call that a client may send has room for the system's headers.
+    #[must_use]
+    pub fn inner_limits(&self) -> Limits {
+        let limits = self.limits();
+        Limits {
+            head: limits.head + INNER_HEADERS,
+            ..limits
+        }
+    }
+
+    /// Idle connections for calls.
+    #[must_use]
+    pub fn pool(&self, limits: Limits) -> PoolCfg {
+        let settings = &self.settings;
+        PoolCfg {
+            connect: settings.timing.connect,
+            per_peer: settings.limits.connections_per_peer as usize,
+            limits,
+            ..PoolCfg::default()
+        }
+    }
+
     /// Streams of the log that the settings name.
     #[must_use]
     pub fn streams(&self) -> Streams {
--- a/crates/daemon/src/calls/caller.rs
+++ b/crates/daemon/src/calls/caller.rs
@@ -14,7 +14,6 @@
 use http::StatusCode;
 use http_edge::Handler;
 use http_edge::Pool;
-use http_edge::PoolCfg;
 use http_edge::Request;
 use http_edge::Response;
 use ledger::Repeat;
@@ -71,10 +70,7 @@
     #[must_use]
     pub fn new(board: &Board) -> Self {
         let settings = &board.me.settings;
-        let cfg = PoolCfg {
-            connect: settings.timing.connect,
-            ..PoolCfg::default()
-        };
+        let cfg = board.me.pool(board.me.inner_limits());
         let balancer = Balancer::new(BalancerConfig::default(), settings.zone.clone());
         let shared = Rc::new(Shared {
             board: board.clone(),
--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -12,7 +12,6 @@
 use http::StatusCode;
 use http_edge::Latch;
 use http_edge::Pool;
-use http_edge::PoolCfg;
 use http_edge::Request;
 use http_edge::Response;
 use ledger::Repeat;
@@ -86,10 +85,15 @@
     #[must_use]
     pub fn new(board: &Board) -> Self {
         let (tx, rx) = unbounded::channel();
-        let table = CallTable::new(board.me.incarnation, CallTableLimits::default());
+        let answers = board.me.settings.limits.memory_of_calls;
+        let limits = CallTableLimits {
+            max_answer_bytes: usize::try_from(answers).unwrap_or(usize::MAX),
+            ..CallTableLimits::default()
+        };
+        let table = CallTable::new(board.me.incarnation, limits);
         Self {
             board: board.clone(),
-            pool: Pool::new(PoolCfg::default()),
+            pool: Pool::new(board.me.pool(board.me.limits())),
             table: RefCell::new(table),
             slots: Rc::new(Slots::new(board.me.settings.limits.queue)),
             queued: RefCell::default(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -67,9 +67,10 @@
     /// # Errors
     /// When an address cannot be listened on.
     pub fn start(settings: Settings) -> Result<Self, StartError> {
-        let cfg = server_cfg(&settings);
         let listen = settings.listen.clone();
         let board = Board::new(settings);
+        let cfg = server_cfg(&board.me.settings, board.me.limits());
+        let inner_cfg = server_cfg(&board.me.settings, board.me.inner_limits());
 
         let members = Members::start(&board).map_err(|source| at(listen.peers, source))?;
         let feed = Feed::start(&board, &members);
@@ -88,7 +89,7 @@
             meter: Rc::clone(&board.meter),
         };
         Ok(Self {
-            peers: open(listen.peers, inner.into(), cfg)?,
+            peers: open(listen.peers, inner.into(), inner_cfg)?,
             local: open(listen.local, Local::new(board.clone()).into(), cfg)?,
             calls: open(listen.calls, caller_side, cfg)?,
             board,
@@ -125,12 +126,7 @@
     }
 }
 
-fn server_cfg(settings: &Settings) -> ServerCfg {
-    let bytes = |size: u64| usize::try_from(size).unwrap_or(usize::MAX);
-    let limits = Limits {
-        head: bytes(settings.limits.max_head),
-        body: bytes(settings.limits.max_body),
-    };
+fn server_cfg(settings: &Settings, limits: Limits) -> ServerCfg {
     ServerCfg {
         limits,
         idle: settings.timing.idle,
--- a/crates/daemon/src/tests/start.rs
+++ b/crates/daemon/src/tests/start.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use http_edge::Handler;
+use http_edge::Limits;
 use http_edge::Request;
 use ledger::State;
 use protocol::call::NOT_RUN_HEADER;
@@ -14,6 +15,30 @@
                         peers: 127.0.0.1:7102\n  local: 127.0.0.1:7103\nlog:\n  \
                         address: 127.0.0.1:7104\n";
 
+#[test]
+fn sizes_and_bounds_of_calls_come_from_the_settings() {
+    let text = format!(
+        "{SETTINGS}limits:\n  max_head: 8KiB\n  max_body: 2MiB\n  connections_per_peer: 7\n"
+    );
+    let board = Board::new(Settings::parse(&text, "test.yaml").unwrap());
+    let limits = board.me.limits();
+    assert_eq!(
+        limits,
+        Limits {
+            head: 8 * 1024,
+            body: 2 * 1024 * 1024
+        }
+    );
+    assert!(board.me.inner_limits().head > limits.head);
+    let pool = board.me.pool(limits);
+    assert_eq!((pool.per_peer, pool.limits), (7, limits));
+}
+
+#[test]
+fn a_proxys_lease_ends_before_another_controller_decides() {
+    assert_eq!(settings::CONTROLLER_LEASE, rollout::lease::LEASE_LIFE);
+}
+
 #[test]
 fn an_unknown_route_is_refused_as_not_run_until_there_is_a_configuration() {
     http_edge::block_on(async {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -8,6 +8,9 @@
 /// Longest name of a daemon or a zone, in bytes.
 const MAX_NAME: usize = 64;
 
+/// Life of the controller's own lease. A proxy's has to end before another controller decides.
+pub const CONTROLLER_LEASE: Duration = Duration::from_secs(4);
+
 type Check = Result<(), (String, String)>;
 
 /// Checks the settings as a whole; an error holds the key and what was expected.
@@ -129,6 +132,12 @@
     if timing.lease <= timing.heartbeat {
         return refuse("timing.lease", "expected more than timing.heartbeat");
     }
+    if timing.lease >= CONTROLLER_LEASE {
+        return refuse(
+            "timing.lease",
+            "expected less than 4s, after which a controller is replaced",
+        );
+    }
     Ok(())
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,6 +21,7 @@
 use smol_str::SmolStr;
 
 use crate::address::Address;
+pub use crate::check::CONTROLLER_LEASE;
 pub use crate::error::Problem;
 pub use crate::error::SettingsError;
 pub use crate::sections::Fanout;
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -78,10 +78,10 @@
     pub max_head: u64,
     /// Calls that wait for a slot of the upstream.
     pub queue: u32,
-    /// Memory of all calls that are held at once, in bytes.
+    /// Answers that are kept to be handed over after a cut connection, in bytes.
     #[serde_as(as = "Size")]
     pub memory_of_calls: u64,
-    /// Open connections to one peer.
+    /// Idle connections kept to one peer.
     pub connections_per_peer: u32,
 }
 
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -126,6 +126,11 @@
         "timing:\n  # no lease: 0s here\n  lease: 0s\nlog:\n",
         "f.yaml:9: timing.lease: expected more than 0",
     );
+    check(
+        "log:\n",
+        "timing: { lease: 4s }\nlog:\n",
+        "f.yaml:7: timing.lease: expected less than 4s, after which a controller is replaced",
+    );
     check(
         "log:\n",
         "timing: { lease: 1s, heartbeat: 1s }\nlog:\n",
