Give the daemons of a test fleet ports that nothing else takes

The fleet took free ports by listening and letting go; with a daemon's thread not yet listening, a later daemon could be given its port. Some 24 daemons take 72 of 28,000 ports, so a collision was not rare.

Ruled out: a fault of the daemon; the address was taken by another daemon of the same fleet.

Change: each fleet has a loopback address of its own already, so its daemons take fixed ports, below the range that the system gives out.

--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -4,7 +4,6 @@
 use std::cell::Cell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -32,6 +31,9 @@
 const CALL_EVERY: Duration = Duration::from_millis(8);
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// First port of a fleet's first daemon.
+const FIRST_PORT: u16 = 7301;
+
 /// Numbers the fleets of this process, so that each has a loopback address of its own.
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
@@ -183,7 +185,7 @@
 
     fn add(&mut self, version: &str) {
         let name = format!("suva-a-{}", self.daemons.len());
-        let ports = Ports::free(self.host);
+        let ports = Ports::of(self.host, self.daemons.len());
         let seeds: Vec<_> = self.daemons.iter().map(|one| one.ports.peers).collect();
         let settings = settings(&name, ports, self.log_address, &seeds);
         let (tx, rx) = mpsc::channel();
@@ -228,11 +230,10 @@
 }
 
 impl Ports {
-    fn free(host: Ipv4Addr) -> Self {
-        let listeners: Vec<_> = (0..3)
-            .map(|_| TcpListener::bind((host, 0)).expect("a port"))
-            .collect();
-        let address = |index: usize| listeners[index].local_addr().expect("an address");
+    /// Ports below those that the system gives out, so that none of them is taken meanwhile.
+    fn of(host: Ipv4Addr, number: usize) -> Self {
+        let first = FIRST_PORT + 3 * u16::try_from(number).expect("few daemons");
+        let address = |index: u16| SocketAddr::from((host, first + index));
         Self {
             calls: address(0),
             peers: address(1),
--- a/crates/daemon/tests/recovery/fleet.rs
+++ b/crates/daemon/tests/recovery/fleet.rs
@@ -5,7 +5,6 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
@@ -37,6 +36,9 @@
 const POLL: Duration = Duration::from_millis(50);
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// First port of a fleet's first daemon.
+const FIRST_PORT: u16 = 7301;
+
 /// Numbers the starts of this process, so that each has a loopback address of its own.
 static STARTS: AtomicU8 = AtomicU8::new(1);
 
@@ -78,7 +80,7 @@
         let host = own_host();
         let mut seeds = Vec::new();
         for number in 0..count {
-            let ports = Ports::free(host);
+            let ports = Ports::of(host, number);
             let settings = settings(number, ports, self.address, &seeds);
             seeds.push(ports.peers);
             let (stop, stopped) = mpsc::channel();
@@ -180,11 +182,10 @@
 }
 
 impl Ports {
-    fn free(host: Ipv4Addr) -> Self {
-        let listeners: Vec<_> = (0..3)
-            .map(|_| TcpListener::bind((host, 0)).expect("a port"))
-            .collect();
-        let address = |index: usize| listeners[index].local_addr().expect("an address");
+    /// Ports below those that the system gives out, so that none of them is taken meanwhile.
+    fn of(host: Ipv4Addr, number: usize) -> Self {
+        let first = FIRST_PORT + 3 * u16::try_from(number).expect("few daemons");
+        let address = |index: u16| SocketAddr::from((host, first + index));
         Self {
             calls: address(0),
             peers: address(1),
@@ -193,7 +194,7 @@
     }
 }
 
-/// A loopback address that no other start uses: a free port there stays free.
+/// A loopback address that no other start uses.
 fn own_host() -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let start = STARTS.fetch_add(1, Ordering::Relaxed);
