Fence the end of a move by the store

Cause: the controller wrote its reports without a condition. Two daemons that see different members both take themselves for the controller and could store two ends, or an append whose answer was lost could undo a later report. Change: the report and the move's record are one append at the offset up to which the reports were read; the first stored end stands, and the others follow it (mesh::moves::settle).

--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -40,6 +40,8 @@
     pub began: UnixMillis,
     /// How far it is.
     pub stage: Stage,
+    /// Whether the store holds this end, which rules any other out.
+    pub is_settled: bool,
 }
 
 impl MoveRecord {
@@ -50,6 +52,32 @@
     }
 }
 
+/// What a controller does with a decision when it has read what the store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settling {
+    /// Another decision stands already; follow it.
+    Adopt(MoveRecord),
+    /// Write this one, on the condition that the store has not changed since.
+    Write(MoveRecord),
+}
+
+/// Weighs a decision against the record that the store holds. The first end that is stored stands:
+/// two daemons that both take themselves for the controller cannot store different ones.
+#[must_use]
+pub fn settle(decided: &MoveRecord, stored: Option<&MoveRecord>) -> Settling {
+    if let Some(stored) = stored
+        && (stored.order.offset > decided.order.offset
+            || stored.order.offset == decided.order.offset
+                && (stored.is_settled || stored.stage >= decided.stage))
+    {
+        return Settling::Adopt(stored.clone());
+    }
+    Settling::Write(MoveRecord {
+        is_settled: !decided.is_open(),
+        ..decided.clone()
+    })
+}
+
 /// How far a move is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
@@ -321,9 +349,10 @@
 }
 
 impl Moves {
-    /// Takes in a record; a later order and a later stage win. Says whether it was news.
+    /// Takes in a record; a later order wins, then an end that the store holds, then a later stage.
+    /// Says whether it was news.
     pub fn merge(&mut self, record: MoveRecord) -> bool {
-        let order = |record: &MoveRecord| (record.order.offset, record.stage);
+        let order = |record: &MoveRecord| (record.order.offset, record.is_settled, record.stage);
         if let Some(known) = self.records.get(&record.order.service)
             && order(known) >= order(&record)
         {
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -8,10 +8,12 @@
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
 use crate::moves::RouteCount;
+use crate::moves::Settling;
 use crate::moves::Stage;
 use crate::moves::Verdict;
 use crate::moves::Versions;
 use crate::moves::next_stage;
+use crate::moves::settle;
 
 fn order(offset: u64) -> MoveOrder {
     MoveOrder {
@@ -27,6 +29,14 @@
         order: order(offset),
         began: 0,
         stage,
+        is_settled: false,
+    }
+}
+
+fn settled(offset: u64, stage: Stage) -> MoveRecord {
+    MoveRecord {
+        is_settled: true,
+        ..record(offset, stage)
     }
 }
 
@@ -118,8 +128,7 @@
             within: Duration::from_millis(within_ms),
             ..order(1)
         },
-        began: 0,
-        stage: Stage::Sharing(0),
+        ..record(1, Stage::Sharing(0))
     };
     let (mut exposed_ms, mut full_since) = (0, None);
     for at_ms in (0..within_ms).step_by(step_ms) {
@@ -192,3 +201,56 @@
     assert!(moves.merge(record(2, Stage::Complete)));
     assert_eq!(moves.versions("catalogue", 500), Versions::Only(&target));
 }
+
+#[test]
+fn the_first_end_that_is_stored_stands() {
+    let check = |decided: MoveRecord, stored: Option<MoveRecord>, expected: Settling| {
+        let settling = settle(&decided, stored.as_ref());
+        assert_eq!(settling, expected, "{decided:?} over {stored:?}");
+    };
+    let (open, complete) = (record(1, Stage::Sharing(30)), record(1, Stage::Complete));
+    let bad = record(1, Stage::RolledBack);
+    let write = |record: MoveRecord| Settling::Write(record);
+    check(open.clone(), None, write(open.clone()));
+    check(bad.clone(), None, write(settled(1, Stage::RolledBack)));
+    check(
+        bad.clone(),
+        Some(open.clone()),
+        write(settled(1, Stage::RolledBack)),
+    );
+    // Two controllers with unlike verdicts: the later one follows the earlier one.
+    for end in [Stage::Complete, Stage::RolledBack] {
+        for decided in [&open, &complete, &bad] {
+            let stored = settled(1, end);
+            check(
+                decided.clone(),
+                Some(stored.clone()),
+                Settling::Adopt(stored),
+            );
+        }
+    }
+    // A lost answer: what was decided is stored already.
+    check(
+        open.clone(),
+        Some(open.clone()),
+        Settling::Adopt(open.clone()),
+    );
+    // The end of an earlier order does not bind a later one, and a later order ends this one.
+    let next = record(2, Stage::Sharing(30));
+    check(
+        next.clone(),
+        Some(settled(1, Stage::RolledBack)),
+        write(next.clone()),
+    );
+    check(bad, Some(next.clone()), Settling::Adopt(next));
+}
+
+#[test]
+fn an_end_of_the_store_wins_over_a_verdict_of_one_daemon() {
+    let mut moves = Moves::default();
+    assert!(moves.merge(record(1, Stage::RolledBack)));
+    assert!(moves.merge(settled(1, Stage::Complete)));
+    assert!(!moves.merge(record(1, Stage::RolledBack)));
+    let target = "v2".into();
+    assert_eq!(moves.versions("catalogue", 0), Versions::Only(&target));
+}
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -4,13 +4,18 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use base::FastMap;
+use base::Offset;
+use base::ServiceName;
 use base::units::unix_millis;
 use mesh::moves::MoveOrder;
 use mesh::moves::MoveRecord;
 use mesh::moves::RouteCount;
+use mesh::moves::Settling;
 use mesh::moves::Stage;
 use mesh::moves::Verdict;
 use mesh::moves::next_stage;
+use mesh::moves::settle;
 use mesh::wire::Member;
 use mesh::wire::Record;
 use protocol::codec;
@@ -30,27 +35,27 @@
 /// A daemon that was not heard for this time is no controller; some rounds of gossip.
 const CONTROLLER_SILENCE: Duration = Duration::from_secs(3);
 
-/// Beginning of the keys of moves in the daemons' own topic.
+/// Beginning of the keys of moves, in the daemons' own topic and beside the reports.
 const MOVE_KEY: &str = "move/";
 
 /// Decides on moves for as long as the daemon runs.
 pub async fn control(node: Shared) {
-    let mut reported: base::FastMap<base::ServiceName, (base::Offset, Stage)> =
-        base::FastMap::default();
+    // Order and stage of the record that this daemon made known last, by service.
+    let mut committed: FastMap<ServiceName, (Offset, Stage)> = FastMap::default();
     loop {
         monoio::time::sleep(LOOK_EVERY).await;
         let records: Vec<MoveRecord> = node.moves.borrow().records().cloned().collect();
+        if records.is_empty() || !node.is_controller() {
+            continue;
+        }
         for record in records {
-            if !node.is_controller(&record) {
-                continue;
-            }
             let decided = node.decide(&record);
-            let key = (decided.order.offset, decided.stage);
-            if reported.get(&decided.order.service) == Some(&key) {
+            let order = |record: &MoveRecord| (record.order.offset, record.stage);
+            if committed.get(&decided.order.service) == Some(&order(&decided)) {
                 continue;
             }
-            if node.commit(&decided).await {
-                reported.insert(decided.order.service.clone(), key);
+            if let Some(stored) = node.commit(decided).await {
+                committed.insert(stored.order.service.clone(), order(&stored));
             }
         }
     }
@@ -63,6 +68,7 @@
             order,
             began: unix_millis(SystemTime::now()),
             stage: Stage::Sharing(0),
+            is_settled: false,
         };
         self.learn_move(record, "operator");
     }
@@ -99,7 +105,7 @@
     }
 
     /// The first by name of those that live. Daemons that see different members may take different
-    /// ones for it; a record with a later stage wins in memory.
+    /// ones for it; the store takes the end of one of them only.
     fn controller(&self) -> Option<Member> {
         let me = self.name();
         let now = Instant::now();
@@ -114,7 +120,7 @@
             .cloned()
     }
 
-    fn is_controller(&self, _record: &MoveRecord) -> bool {
+    fn is_controller(&self) -> bool {
         self.controller()
             .is_some_and(|member| member.daemon == self.name())
     }
@@ -185,25 +191,70 @@
     }
 
     /// Makes a decision known: a bad verdict at once, all others after the store took them.
-    async fn commit(&self, decided: &MoveRecord) -> bool {
+    /// Returns the record that stands now.
+    async fn commit(&self, decided: MoveRecord) -> Option<MoveRecord> {
         if decided.stage == Stage::RolledBack {
             self.learn_move(decided.clone(), "verdict");
         }
-        let key = format!("{MOVE_KEY}{}", decided.order.service);
-        let value = codec::encode(&Record::Move(decided.clone()));
+        let stored = match self.store_move(&decided).await {
+            Ok(stored) => stored,
+            Err(e) => {
+                self.warn_uncommitted(&decided, &e);
+                return None;
+            }
+        };
+        self.learn_move(stored.clone(), "controller");
+        let key = move_key(&stored);
+        let value = codec::encode(&Record::Move(stored.clone()));
         self.metrics.log_request(LogRequest::Append);
-        if let Err(e) = self.store.put(Topic::Mesh, &key, &value, None).await {
-            self.warn_uncommitted(decided, &e);
-            return false;
+        if let Err(e) = self.store.put(Topic::Mesh, &key, &value).await {
+            self.warn_uncommitted(&stored, &e);
+            return None;
         }
-        self.learn_move(decided.clone(), "verdict");
-        let (key, value) = operator::report(&decided.order, decided.stage);
-        self.metrics.log_request(LogRequest::Append);
-        match self.store.put(Topic::Reports, &key, &value, None).await {
-            Ok(_) => true,
+        Some(stored)
+    }
+
+    /// Writes a decision and the report on it, or finds the decision that stands already.
+    async fn store_move(&self, decided: &MoveRecord) -> Result<MoveRecord, StoreError> {
+        loop {
+            self.metrics.log_request(LogRequest::Read);
+            let newest = self.store.newest(Topic::Reports).await?;
+            let stored = newest.records.iter().find_map(|record| {
+                let is_same = record.key == move_key(decided);
+                let value = record.value.as_ref().filter(|_| is_same)?;
+                self.decode_move(&record.key, value)
+            });
+            let record = match settle(decided, stored.as_ref()) {
+                Settling::Adopt(record) => return Ok(record),
+                Settling::Write(record) => record,
+            };
+            let (key, report) = operator::report(&record.order, record.stage);
+            let value = codec::encode(&Record::Move(record.clone()));
+            let records: [(&str, &[u8]); 2] = [(&key, &report), (&move_key(&record), &value)];
+            self.metrics.log_request(LogRequest::Append);
+            match self
+                .store
+                .put_at(Topic::Reports, &records, newest.end)
+                .await
+            {
+                Ok(_) => return Ok(record),
+                // Another daemon wrote in between.
+                Err(StoreError::Moved(_)) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    fn decode_move(&self, key: &str, value: &[u8]) -> Option<MoveRecord> {
+        match codec::decode(value) {
+            Ok(Record::Move(record)) => Some(record),
+            Ok(Record::Member(_)) => None,
             Err(e) => {
-                self.warn_uncommitted(decided, &e);
-                false
+                self.believe(
+                    "record-unreadable",
+                    || json!({ "key": key, "reason": e.to_string() }),
+                );
+                None
             }
         }
     }
@@ -219,6 +270,10 @@
     }
 }
 
+fn move_key(record: &MoveRecord) -> String {
+    format!("{MOVE_KEY}{}", record.order.service)
+}
+
 fn verdict_name(verdict: Verdict) -> &'static str {
     match verdict {
         Verdict::Open => "open",
--- a/crates/sidecar/tests/path.rs
+++ b/crates/sidecar/tests/path.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::BytesMut;
 use http::StatusCode;
 use http_edge::Conn;
 use http_edge::Handler;
@@ -170,6 +171,13 @@
     }
 }
 
+fn append(store: &StoreService, topic: &str, key: &str, value: &[u8]) {
+    let mut buf = BytesMut::new();
+    records::encode(&mut buf, key, value).expect("short key");
+    let appended = store.with_topic(topic, |topic| topic.append(buf.freeze()));
+    appended.expect("whole record");
+}
+
 fn put_config(store: &StoreService, version: u64, service: &str) {
     let text = format!(
         r#"{{"Version":"r{version}","Routes":{{
@@ -179,9 +187,7 @@
 "Services":{{"{service}":{{}},"spare":{{}}}},
 "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3s","IdleTimeout":"15s"}}}}"#
     );
-    let record = records::encode("config", text.as_bytes()).expect("short key");
-    let appended = store.with_topic("keyed.op", |topic| topic.append(record));
-    appended.expect("whole record");
+    append(store, "keyed.op", "config", text.as_bytes());
 }
 
 /// Runs a test with a store and two machines, the second one with the service `bookings`.
