Let two leads of each zone read the store for the others

Ruled out: relays across zones, since bytes between zones cost ten times those from the store; longer pauses between reads, since a configuration has to be in force within two seconds. Change: mesh::leads decides who leads a zone; leads tell their zone by datagrams at once, followers fetch configurations from them, and members where hashes stay unlike. The first lead decides on moves, so that all evidence reaches one daemon (before, daemons that are seldom heard in a large fleet were passed over). Waiting calls are probed by keep-alive. Tests first: tests::leads::*, daemons_that_follow_hear_of_a_configuration_from_the_leads.

--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -41,6 +41,13 @@
 use crate::message::Request;
 use crate::message::Response;
 
+/// Silence after which the kernel probes a connection, the time between two probes, and the probes
+/// without an answer after which the connection counts as broken. Shows a peer that is gone while a
+/// call waits long for news; the kernel counts whole seconds.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+const PROBES: u32 = 3;
+
 /// An open connection that carries one request at a time.
 pub struct Conn {
     encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
@@ -73,6 +80,9 @@
             .map_err(|_| ConnectError::TimedOut)?
             .map_err(ConnectError::Refused)?;
         stream.set_nodelay(true).map_err(ConnectError::Refused)?;
+        stream
+            .set_tcp_keepalive(Some(PROBE_AFTER), Some(PROBE_EVERY), Some(PROBES))
+            .map_err(ConnectError::Refused)?;
         let (r, w) = stream.into_split();
         let budget = Budget::new(limits.budget());
         Ok(Self {
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -55,16 +55,34 @@
             return Merge::Known;
         }
         // A machine's address is used by one daemon at a time; the one that started last has it.
-        self.members.retain(|daemon, known| {
-            *daemon == member.daemon
-                || known.member.address != member.address
-                || known.member.incarnation > member.incarnation
-        });
+        let is_rival = |known: &Entry| {
+            known.member.daemon != member.daemon && known.member.address == member.address
+        };
+        let mut known = self.members.values();
+        if known.any(|known| is_rival(known) && known.member.incarnation > member.incarnation) {
+            return Merge::Known;
+        }
+        self.members.retain(|_, known| !is_rival(known));
         let entry = Entry { member, since: now };
         self.members.insert(entry.member.daemon.clone(), entry);
         Merge::Newer
     }
 
+    /// A hash of the newest words of all members, whatever the order in which they came.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let hash = |member: &Member| {
+            let (incarnation, revision) = (member.incarnation, member.revision);
+            base::hash::stable(&[
+                member.daemon.as_bytes(),
+                &incarnation.to_be_bytes(),
+                &revision.to_be_bytes(),
+            ])
+        };
+        let members = self.members.values().map(|entry| hash(&entry.member));
+        members.fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// All members, in no order.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.members.values()
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod gate;
 pub mod instance;
+pub mod leads;
 pub mod moves;
 pub mod placing;
 pub mod retries;
@@ -20,6 +21,7 @@
 pub use directory::Directory;
 pub use gate::Gate;
 pub use instance::LocalInstance;
+pub use leads::Leads;
 pub use placing::Placer;
 pub use table::RouteTable;
 
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod gate;
 mod instance;
+mod leads;
 mod moves;
 mod placing;
 mod table;
--- /dev/null
+++ b/crates/mesh/src/tests/leads.rs
@@ -0,0 +1,180 @@
+//! Fleets that elect the readers of their zones.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::FastMap;
+
+use crate::leads::CLAIM_LIFE;
+use crate::leads::Claim;
+use crate::leads::LEADS;
+use crate::leads::Leads;
+use crate::leads::Role;
+use crate::leads::strength;
+
+const ROUND: Duration = Duration::from_millis(250);
+
+/// A zone whose daemons hear each other once a round, unless they are down.
+struct Zone {
+    daemons: Vec<(DaemonId, Leads)>,
+    down: Vec<DaemonId>,
+    now: Instant,
+}
+
+impl Zone {
+    fn new(strengths: &[u32]) -> Self {
+        let leads = |(index, strength): (usize, &u32)| {
+            let name = DaemonId::from(format!("d{index:03}"));
+            let leads = Leads::new(name.clone(), "a".into(), *strength);
+            (name, leads)
+        };
+        Self {
+            daemons: strengths.iter().enumerate().map(leads).collect(),
+            down: Vec::new(),
+            now: Instant::now(),
+        }
+    }
+
+    fn round(&mut self) {
+        self.now += ROUND;
+        let leading = self.leading();
+        let claims: FastMap<DaemonId, Claim> = self
+            .daemons
+            .iter()
+            .filter(|(name, leads)| leading.contains(name) && !leads.is_failing(self.now))
+            .map(|(name, leads)| (name.clone(), leads.own_claim(0)))
+            .collect();
+        for (name, leads) in &mut self.daemons {
+            for (other, claim) in claims.iter().filter(|(other, _)| *other != name) {
+                leads.claimed(other, claim.clone(), 0, self.now);
+            }
+        }
+    }
+
+    fn rounds(&mut self, count: u32) {
+        (0..count).for_each(|_| self.round());
+    }
+
+    fn leading(&self) -> Vec<DaemonId> {
+        self.daemons
+            .iter()
+            .filter(|(name, _)| !self.down.contains(name))
+            .filter(|(_, leads)| leads.role(self.now) == Role::Lead)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    fn fail(&mut self, name: &str) {
+        let now = self.now;
+        let daemon = self.daemons.iter_mut().find(|(daemon, _)| daemon == name);
+        daemon.expect("known").1.called_store(false, now);
+    }
+}
+
+#[test]
+fn a_zone_settles_on_its_strongest_daemons() {
+    let check = |strengths: &[u32], expected: &[&str]| {
+        let mut zone = Zone::new(strengths);
+        zone.rounds(2);
+        assert_eq!(zone.leading(), expected, "{strengths:?}");
+    };
+    check(&[200], &["d000"]);
+    check(&[200; 5], &["d000", "d001"]);
+    check(&[20, 100, 500, 20, 500], &["d002", "d004"]);
+    check(&[200; 75], &["d000", "d001"]);
+}
+
+#[test]
+fn leads_that_die_are_replaced_within_the_life_of_a_claim() {
+    let mut zone = Zone::new(&[200; 9]);
+    zone.rounds(2);
+    zone.down = vec!["d000".into()];
+    // Meanwhile the other lead reads on.
+    assert_eq!(zone.leading(), ["d001"]);
+    let rounds = u32::try_from(CLAIM_LIFE.as_millis() / ROUND.as_millis()).unwrap() + 2;
+    zone.rounds(rounds);
+    assert_eq!(zone.leading(), ["d001", "d002"]);
+    zone.down.push("d001".into());
+    zone.down.push("d002".into());
+    zone.rounds(rounds);
+    assert_eq!(zone.leading(), ["d003", "d004"]);
+    zone.down.clear();
+    zone.rounds(2);
+    assert_eq!(zone.leading(), ["d000", "d001"]);
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_leaves_the_lead_to_others() {
+    let mut zone = Zone::new(&[200; 6]);
+    zone.rounds(2);
+    zone.fail("d000");
+    zone.rounds(5);
+    assert_eq!(zone.leading(), ["d001", "d002"]);
+    // Where it serves nobody, all try until one is served.
+    for index in 0..6 {
+        zone.fail(&format!("d{index:03}"));
+    }
+    zone.rounds(5);
+    assert_eq!(zone.leading().len(), 6);
+    let now = zone.now;
+    zone.daemons[4].1.called_store(true, now);
+    zone.rounds(1);
+    assert_eq!(zone.leading(), ["d004"]);
+}
+
+#[test]
+fn the_first_of_all_leads_decides_for_the_fleet() {
+    let now = Instant::now();
+    let claim = |zone: &str, strength: u32| Claim {
+        zone: zone.into(),
+        strength,
+        members: 0,
+    };
+    let mut leads = Leads::new("b1".into(), "b".into(), 200);
+    assert_eq!(leads.first(now), None);
+    leads.claimed(&"c1".into(), claim("c", 200), 0, now);
+    assert_eq!(leads.first(now), None);
+    leads.claimed(&"a1".into(), claim("a", 100), 0, now);
+    assert_eq!(leads.first(now), None);
+    leads.claimed(&"a2".into(), claim("a", 200), 0, now);
+    assert_eq!(leads.first(now), Some(&"a2".into()));
+    leads.claimed(&"d9".into(), claim("d", 500), 0, now);
+    assert_eq!(leads.first(now), Some(&"d9".into()));
+    leads.retracted(&"d9".into());
+    assert_eq!(leads.first(now), Some(&"a2".into()));
+    assert_eq!(leads.first(now + CLAIM_LIFE), None);
+    // A follower is never first itself.
+    let mut follower = Leads::new("b9".into(), "b".into(), 50);
+    for index in 0..LEADS {
+        follower.claimed(&format!("b{index}").into(), claim("b", 100), 0, now);
+    }
+    assert_eq!(follower.first(now), Some(&"b0".into()));
+}
+
+#[test]
+fn lost_words_about_members_are_noticed() {
+    let now = Instant::now();
+    let mut leads = Leads::new("b1".into(), "b".into(), 200);
+    let mut claimed = |zone: &str, told: u64, known: u64| {
+        let claim = Claim {
+            zone: zone.into(),
+            strength: 200,
+            members: told,
+        };
+        leads.claimed(&"b0".into(), claim, known, now)
+    };
+    let repeated = |claimed: &mut dyn FnMut(&str, u64, u64) -> bool, zone: &str, told: u64| {
+        (0..4).map(|_| claimed(zone, told, 7)).collect::<Vec<_>>()
+    };
+    assert_eq!(repeated(&mut claimed, "b", 7), [false; 4]);
+    assert_eq!(repeated(&mut claimed, "a", 8), [false; 4]);
+    assert_eq!(repeated(&mut claimed, "b", 8), [false, false, true, false]);
+}
+
+#[test]
+fn a_weak_link_weighs_as_much_as_a_slow_core() {
+    assert_eq!(strength(500, 10), 20);
+    assert_eq!(strength(100, 200), 100);
+    assert_eq!(strength(200, 1000), 200);
+}
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -20,6 +20,7 @@
 use crate::config::Rank;
 use crate::config::RouteName;
 use crate::instance::InstanceId;
+use crate::leads::Claim;
 use crate::moves::MoveRecord;
 
 /// One daemon and the instance beside it.
@@ -127,6 +128,8 @@
     pub evidence: Option<crate::moves::Evidence>,
     /// Moves that the sender knows.
     pub moves: Vec<MoveRecord>,
+    /// The sender's claim to lead its zone.
+    pub claim: Option<Claim>,
     /// Whether the receiver is asked to answer.
     pub wants_reply: bool,
 }
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -7,12 +7,12 @@
 use mesh::wire::Member;
 use mesh::wire::Record;
 use platform::Backoff;
-use platform::BackoffCfg;
 use protocol::codec;
 use report::metrics::LogRequest;
 use serde_json::json;
 use users_platform::Topic;
 
+use crate::follow::BACKOFF;
 use crate::node::Node;
 use crate::node::Shared;
 
@@ -22,16 +22,11 @@
 /// Beginning of the keys of members in the daemons' own topic.
 const MEMBER_KEY: &str = "member/";
 
-/// Pauses after failures of the store; records have to be back within two seconds of its return.
-const BACKOFF: BackoffCfg = BackoffCfg {
-    first: Duration::from_millis(100),
-    cap: Duration::from_secs(1),
-};
-
 /// Announces changes for as long as the daemon runs.
 pub async fn announce(node: Shared) {
     let mut backoff = Backoff::new(BACKOFF, node.random());
     let mut stored: Option<(u64, u64)> = None;
+    let mut told: Option<(u64, u64)> = None;
     let mut failed: Option<(Instant, Duration)> = None;
     loop {
         monoio::time::sleep(LOOK_EVERY).await;
@@ -40,6 +35,10 @@
             continue;
         };
         let order = (member.incarnation, member.revision);
+        if told != Some(order) {
+            told = Some(order);
+            node.tell_all().await;
+        }
         let is_paused = failed.is_some_and(|(at, pause)| at.elapsed() < pause);
         if stored == Some(order) || is_paused || !node.has_members.get() {
             continue;
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,12 +1,16 @@
-//! Tasks that follow the topics of the store, and fetch a later configuration from other daemons.
+//! Tasks that follow the topics of the store where this daemon leads its zone, and fetch from other
+//! daemons what they know better.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::Offset;
 use bytes::Bytes;
 use http_edge::Request;
+use mesh::directory::Merge;
 use mesh::moves::MoveOrder;
+use mesh::wire::Member;
 use mesh::wire::Record;
 use platform::Backoff;
 use platform::BackoffCfg;
@@ -20,11 +24,16 @@
 use users_platform::records::KeyedRecord;
 
 use crate::forward::CONFIG_PATH;
+use crate::forward::MEMBERS_PATH;
 use crate::node::Node;
 use crate::node::Shared;
 
-/// How long the store holds a read without news; the longest that it takes.
-const WAIT: Duration = Duration::from_secs(30);
+/// How long the store holds a read without news. The two leads of a zone cost a dozen calls a minute
+/// with it.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// How often a daemon that follows looks whether it has to lead.
+const ROLE_EVERY: Duration = Duration::from_millis(100);
 
 /// Pause after news of members, so that words that come together are read together; meanwhile gossip
 /// carries them.
@@ -34,30 +43,42 @@
 /// two seconds.
 const GATHER_CONFIGS: Duration = Duration::from_millis(300);
 
-/// How often a daemon looks whether another one told of a later configuration.
-const RELAY_EVERY: Duration = Duration::from_millis(100);
+/// How often a daemon looks whether another one knows something better.
+const RELAY_EVERY: Duration = Duration::from_millis(50);
 
-/// Longest time for the configuration from another daemon.
+/// Longest time for the configuration or the members from another daemon.
 const RELAY_TIME: Duration = Duration::from_secs(1);
 
 /// Pauses after failures of the store. The first is short, since entries have to be back within
 /// two seconds of its return.
-const BACKOFF: BackoffCfg = BackoffCfg {
+pub const BACKOFF: BackoffCfg = BackoffCfg {
     first: Duration::from_millis(100),
     cap: Duration::from_secs(1),
 };
 
-/// Follows a topic for as long as the daemon runs.
+/// Follows a topic for as long as the daemon runs: reads it once, and goes on while the daemon leads
+/// its zone.
 pub async fn follow(node: Shared, topic: Topic) {
     let mut backoff = Backoff::new(BACKOFF, node.random());
     let mut from: Option<Offset> = None;
     let mut is_reached = true;
     loop {
+        if from.is_some() && !node.is_lead() {
+            monoio::time::sleep(ROLE_EVERY).await;
+            if node.is_lead() {
+                // The newest records are fewer than those that were passed over.
+                from = None;
+            }
+            continue;
+        }
         let read = match from {
             None => node.read_newest(topic).await,
             Some(from) => node.read_on(topic, from).await,
         };
         node.metrics.log_request(LogRequest::Read);
+        let is_served = matches!(read, Ok(_) | Err(StoreError::Expired(_)));
+        let now = Instant::now();
+        node.leads.borrow_mut().called_store(is_served, now);
         match read {
             Ok(next) => {
                 if !is_reached {
@@ -91,21 +112,20 @@
     }
 }
 
-/// Fetches a later configuration from a daemon that told of it.
+/// Fetches from other daemons what they told that they know better.
 pub async fn relay(node: Shared) {
     loop {
         monoio::time::sleep(RELAY_EVERY).await;
-        let Some(address) = node.behind.borrow_mut().take() else {
-            continue;
-        };
-        let Ok(mut conn) = node.inner.take(address).await else {
-            continue;
-        };
-        if let Ok(res) = conn.call(Request::get(CONFIG_PATH), RELAY_TIME).await {
-            node.inner.put(conn);
-            if !res.body.is_empty() {
-                node.adopt_config(&res.body, "daemon");
-            }
+        if let Some(address) = node.config_from.take()
+            && let Some(bytes) = node.fetch(address, CONFIG_PATH).await
+            && !bytes.is_empty()
+        {
+            node.adopt_config(&bytes, "daemon");
+        }
+        if let Some(address) = node.members_from.take()
+            && let Some(bytes) = node.fetch(address, MEMBERS_PATH).await
+        {
+            node.take_members(&bytes);
         }
     }
 }
@@ -125,6 +145,7 @@
         }
         if topic == Topic::Mesh {
             self.has_members.set(true);
+            self.member_news.borrow_mut().clear();
         }
         Ok(newest.end)
     }
@@ -141,6 +162,44 @@
         Ok(page.next)
     }
 
+    async fn fetch(&self, from: SocketAddr, path: &str) -> Option<Bytes> {
+        let failed = |reason: String| {
+            self.believe(
+                "fetch-failed",
+                || json!({ "from": from, "path": path, "reason": reason }),
+            );
+        };
+        let mut conn = match self.inner.take(from).await {
+            Ok(conn) => conn,
+            Err(e) => {
+                failed(e.to_string());
+                return None;
+            }
+        };
+        match conn.call(Request::get(path), RELAY_TIME).await {
+            Ok(res) => {
+                self.inner.put(conn);
+                Some(res.body)
+            }
+            Err(e) => {
+                failed(e.to_string());
+                None
+            }
+        }
+    }
+
+    fn take_members(&self, bytes: &Bytes) {
+        match codec::decode::<Vec<Member>>(bytes) {
+            Ok(members) => {
+                for member in members {
+                    self.learn_member(member, "daemon");
+                }
+                self.has_members.set(true);
+            }
+            Err(e) => self.believe("members-unreadable", || json!({ "reason": e.to_string() })),
+        }
+    }
+
     fn take_record(&self, topic: Topic, record: KeyedRecord) {
         let Some(value) = record.value else {
             return;
@@ -171,7 +230,11 @@
 
     fn take_mesh_record(&self, key: &str, value: &Bytes) {
         match codec::decode::<Record>(value) {
-            Ok(Record::Member(member)) => self.learn_member(member, "store"),
+            Ok(Record::Member(member)) => {
+                if self.learn_member(member.clone(), "store") == Merge::Newer {
+                    self.member_news.borrow_mut().push(member);
+                }
+            }
             Ok(Record::Move(record)) => self.learn_move(record, "store"),
             Err(e) => {
                 self.believe(
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -1,9 +1,11 @@
 //! The hop from the daemon that a client asked to the daemon beside the chosen instance.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::DaemonId;
+use bytes::Bytes;
 use http::StatusCode;
 use http_edge::CallError;
 use http_edge::Handler;
@@ -28,6 +30,9 @@
 /// Path at which a daemon gives the configuration in force to others.
 pub const CONFIG_PATH: &str = "/inner/config";
 
+/// Path at which a daemon gives all members that it knows to others.
+pub const MEMBERS_PATH: &str = "/inner/members";
+
 /// Time beyond a request's deadline in which the other daemon's answer is still taken.
 const REPLY_SLACK: Duration = Duration::from_millis(150);
 
@@ -105,6 +110,19 @@
         })
     }
 
+    /// What this daemon tells others that ask for it at a path.
+    fn tell(&self, path: &str) -> Option<Bytes> {
+        match path {
+            CONFIG_PATH => Some(self.config_bytes.borrow().clone()),
+            MEMBERS_PATH => {
+                let directory = self.directory.borrow();
+                let members: Vec<&Member> = directory.entries().map(|e| &e.member).collect();
+                Some(codec::encode(&members))
+            }
+            _ => None,
+        }
+    }
+
     /// This daemon's word about itself, for a caller that has an older one.
     fn correction(&self, reason: NotRunReason) -> Option<Member> {
         match reason {
@@ -117,14 +135,14 @@
     }
 
     /// Notes that another daemon has a later configuration.
-    pub fn note_config(&self, version: mesh::ConfigVersion, at: std::net::SocketAddr) {
+    pub fn note_config(&self, version: mesh::ConfigVersion, at: SocketAddr) {
         if version > self.tables.borrow().version() {
-            *self.behind.borrow_mut() = Some(at);
+            self.config_from.set(Some(at));
         }
     }
 
     /// Returns once the other daemon gave no sign of life for a while.
-    async fn silence_of(&self, daemon: &DaemonId, address: std::net::SocketAddr) {
+    async fn silence_of(&self, daemon: &DaemonId, address: SocketAddr) {
         monoio::time::sleep(QUIET).await;
         let mut since = Instant::now();
         loop {
@@ -151,8 +169,10 @@
 
 impl Handler for InnerHandler {
     async fn handle(&self, mut req: Request) -> Response {
-        if req.path() == CONFIG_PATH && req.header(HEAD_HEADER).is_none() {
-            return Response::new(StatusCode::OK, self.node.config_bytes.borrow().clone());
+        if req.header(HEAD_HEADER).is_none()
+            && let Some(told) = self.node.tell(req.path())
+        {
+            return Response::new(StatusCode::OK, told);
         }
         let head = req.header(HEAD_HEADER).map(codec::decode_text::<GateHead>);
         let Some(Ok(head)) = head else {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -7,31 +7,37 @@
 use std::net::UdpSocket as StdUdpSocket;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
+use base::DaemonId;
 use mesh::directory::Entry;
-use mesh::moves::MoveRecord;
+use mesh::leads::Claim;
 use mesh::wire::Gossip;
 use mesh::wire::Member;
 use monoio::net::udp::UdpSocket;
 use protocol::codec;
+use serde_json::json;
 
 use crate::node::Node;
 use crate::node::Shared;
 
-/// Time between two rounds; with the receivers of a round, news reaches a hundred daemons within
-/// ten rounds.
+/// Time between two rounds; with one random receiver of each daemon, a configuration that one daemon
+/// of a hundred has reaches all within ten rounds.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// How often a daemon that leads its zone looks for news to tell at once.
+const LEAD_EVERY: Duration = Duration::from_millis(50);
+
 /// Time between two words of evidence to the controller of a move, which is what a bad version
 /// costs at least.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(100);
 
-/// Random receivers of a round.
-const RECEIVERS: usize = 2;
-
 /// Other members that a datagram tells of.
 const CARRIED: usize = 2;
 
+/// Members that a datagram tells of when the store told of them; fits one packet.
+const NEWS: usize = 6;
+
 /// Largest datagram, in bytes; fits one packet.
 const MAX_DATAGRAM: usize = 1400;
 
@@ -49,9 +55,48 @@
 pub async fn send(node: Shared, socket: Rc<UdpSocket>) {
     loop {
         monoio::time::sleep(ROUND).await;
-        let gossip = node.gossip(false);
-        for member in node.random_members(RECEIVERS) {
-            send_one(&socket, &gossip, member.address).await;
+        let carried = node.random_members(CARRIED);
+        for receiver in node.random_members(1) {
+            send_one(&socket, &node.gossip(carried.clone()), receiver.address).await;
+        }
+    }
+}
+
+/// Tells the zone that this daemon leads it, and what the store told, for as long as it does.
+pub async fn lead(node: Shared, socket: Rc<UdpSocket>) {
+    let mut is_claimed = false;
+    let mut told = (0, Vec::new());
+    let mut told_at = Instant::now();
+    loop {
+        monoio::time::sleep(LEAD_EVERY).await;
+        let claim = node.claim();
+        if claim.is_some() != is_claimed {
+            is_claimed = claim.is_some();
+            node.believe(
+                "lead-changed",
+                || json!({ "leads": is_claimed, "failing": node.leads.borrow().is_failing(Instant::now()) }),
+            );
+        }
+        if claim.is_none() {
+            node.member_news.borrow_mut().clear();
+            continue;
+        }
+        let news = node.member_news.take();
+        let stages = node.stages();
+        let state = (node.tables.borrow().version(), stages);
+        if told == state && news.is_empty() && told_at.elapsed() < ROUND {
+            continue;
+        }
+        told = state;
+        told_at = Instant::now();
+        let mut parts: Vec<Vec<Member>> = news.chunks(NEWS).map(<[Member]>::to_vec).collect();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        for receiver in node.led() {
+            for part in &parts {
+                send_one(&socket, &node.gossip(part.clone()), receiver).await;
+            }
         }
     }
 }
@@ -60,8 +105,8 @@
 pub async fn send_evidence(node: Shared, socket: Rc<UdpSocket>) {
     loop {
         monoio::time::sleep(EVIDENCE_EVERY).await;
-        for member in node.controllers() {
-            send_one(&socket, &node.gossip(false), member.address).await;
+        if let Some(address) = node.evidence_to() {
+            send_one(&socket, &node.gossip(Vec::new()), address).await;
         }
     }
 }
@@ -82,7 +127,7 @@
             continue;
         };
         if gossip.wants_reply {
-            send_one(&socket, &node.gossip(false), from).await;
+            send_one(&socket, &node.gossip(Vec::new()), from).await;
         }
         node.take_gossip(gossip, from);
     }
@@ -107,22 +152,58 @@
     pub async fn ask_for_life(&self, address: SocketAddr) {
         let socket = self.socket.borrow().clone();
         if let Some(socket) = socket {
-            send_one(&socket, &self.gossip(true), address).await;
+            let question = Gossip {
+                wants_reply: true,
+                ..self.gossip(Vec::new())
+            };
+            send_one(&socket, &question, address).await;
         }
     }
 
-    fn gossip(&self, wants_reply: bool) -> Gossip {
+    /// Tells all members of this daemon's newest word about itself.
+    pub async fn tell_all(&self) {
+        let socket = self.socket.borrow().clone();
+        let Some(socket) = socket else {
+            return;
+        };
+        let gossip = self.gossip(Vec::new());
+        for address in self.addresses(|_| true) {
+            send_one(&socket, &gossip, address).await;
+        }
+    }
+
+    /// Daemons that this one tells that it leads: its zone, and all while it decides on a move.
+    fn led(&self) -> Vec<SocketAddr> {
+        let zone = self.boot.borrow().zone.clone();
+        let is_deciding = self.is_moving() && self.is_controller();
+        self.addresses(|member| is_deciding || member.zone == zone)
+    }
+
+    fn addresses(&self, is_wanted: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
+        let me = self.name();
+        let directory = self.directory.borrow();
+        directory
+            .entries()
+            .map(|entry| &entry.member)
+            .filter(|member| member.daemon != me && is_wanted(member))
+            .map(|member| member.address)
+            .collect()
+    }
+
+    /// A datagram about this daemon and some other members.
+    fn gossip(&self, others: Vec<Member>) -> Gossip {
         let mut members: Vec<Member> = self.own_member().into_iter().collect();
-        members.extend(self.random_members(CARRIED));
+        members.extend(others);
         let moves = self.moves.borrow();
-        let is_moving = moves.records().any(MoveRecord::is_open);
+        let evidence = self.is_moving().then(|| self.gate.evidence(self));
         Gossip {
             members,
             config: self.tables.borrow().version(),
             load: self.gate.load(),
-            evidence: is_moving.then(|| self.gate.evidence(self)).flatten(),
+            evidence: evidence.flatten(),
             moves: moves.records().cloned().collect(),
-            wants_reply,
+            claim: self.claim(),
+            wants_reply: false,
         }
     }
 
@@ -134,6 +215,7 @@
             self.learn_member(member, "gossip");
         }
         self.hear(&sender);
+        self.take_claim(&sender, gossip.claim, from);
         if let Some(evidence) = gossip.evidence {
             self.docket.borrow_mut().merge(&sender, evidence);
         }
@@ -145,11 +227,25 @@
         if let Some(entry) = directory.get(&sender)
             && entry.member.instance.is_some()
         {
-            let now = std::time::Instant::now();
+            let now = Instant::now();
             self.placer.borrow_mut().told(entry, gossip.load, now);
         }
     }
 
+    fn take_claim(&self, sender: &DaemonId, claim: Option<Claim>, from: SocketAddr) {
+        let members = self.directory.borrow().digest();
+        let mut leads = self.leads.borrow_mut();
+        let is_behind = if let Some(claim) = claim {
+            leads.claimed(sender, claim, members, Instant::now())
+        } else {
+            leads.retracted(sender);
+            false
+        };
+        if is_behind || !self.has_members.get() {
+            self.members_from.set(Some(from));
+        }
+    }
+
     /// Some other members, at random.
     fn random_members(&self, count: usize) -> Vec<Member> {
         let me = self.name();
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -1,5 +1,6 @@
 //! Drives moves: one daemon decides, all follow what it decided.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -16,7 +17,6 @@
 use mesh::moves::Verdict;
 use mesh::moves::next_stage;
 use mesh::moves::settle;
-use mesh::wire::Member;
 use mesh::wire::Record;
 use protocol::codec;
 use report::metrics::LogRequest;
@@ -32,9 +32,6 @@
 /// How often the controller looks at the evidence.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// A daemon that was not heard for this time is no controller; some rounds of gossip.
-const CONTROLLER_SILENCE: Duration = Duration::from_secs(3);
-
 /// Beginning of the keys of moves, in the daemons' own topic and beside the reports.
 const MOVE_KEY: &str = "move/";
 
@@ -91,38 +88,38 @@
         }
     }
 
-    /// The daemons that decide on the moves that are under way.
-    pub fn controllers(&self) -> Vec<Member> {
+    /// Whether a move is under way.
+    pub fn is_moving(&self) -> bool {
+        self.moves.borrow().records().any(MoveRecord::is_open)
+    }
+
+    /// How far the moves are.
+    pub fn stages(&self) -> Vec<(Offset, bool, Stage)> {
         let moves = self.moves.borrow();
-        if !moves.records().any(MoveRecord::is_open) {
-            return Vec::new();
-        }
-        let me = self.name();
-        self.controller()
-            .filter(|member| member.daemon != me)
-            .into_iter()
-            .collect()
+        let mut stages: Vec<_> = moves
+            .records()
+            .map(|record| (record.order.offset, record.is_settled, record.stage))
+            .collect();
+        stages.sort_unstable();
+        stages
     }
 
-    /// The first by name of those that live. Daemons that see different members may take different
-    /// ones for it; the store takes the end of one of them only.
-    fn controller(&self) -> Option<Member> {
-        let me = self.name();
-        let now = Instant::now();
-        let since = now.checked_sub(CONTROLLER_SILENCE).unwrap_or(now);
+    /// Where evidence on a move under way goes.
+    pub fn evidence_to(&self) -> Option<SocketAddr> {
+        if !self.is_moving() {
+            return None;
+        }
+        let leads = self.leads.borrow();
+        let first = leads.first(Instant::now())?;
         let directory = self.directory.borrow();
-        directory
-            .entries()
-            .map(|entry| &entry.member)
-            .filter(|member| member.is_open)
-            .filter(|member| member.daemon == me || self.was_heard_since(&member.daemon, since))
-            .min_by(|a, b| a.daemon.cmp(&b.daemon))
-            .cloned()
+        directory.get(first).map(|entry| entry.member.address)
     }
 
-    fn is_controller(&self) -> bool {
-        self.controller()
-            .is_some_and(|member| member.daemon == self.name())
+    /// Whether this daemon decides on moves. Daemons that hear different leads may both do; the
+    /// store takes the end of one of them only.
+    pub fn is_controller(&self) -> bool {
+        let leads = self.leads.borrow();
+        self.is_lead() && leads.first(Instant::now()).is_none()
     }
 
     fn decide(&self, record: &MoveRecord) -> MoveRecord {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,10 +17,14 @@
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use mesh::Directory;
+use mesh::Leads;
 use mesh::LocalInstance;
 use mesh::Placer;
 use mesh::directory::Entry;
 use mesh::directory::Merge;
+use mesh::leads::Claim;
+use mesh::leads::Role;
+use mesh::leads::strength;
 use mesh::moves::Docket;
 use mesh::moves::Moves;
 use mesh::moves::Versions;
@@ -61,8 +66,13 @@
     pub tables: RefCell<TableSlot>,
     /// The configuration in force as the store gave it, for other daemons.
     pub config_bytes: RefCell<Bytes>,
-    /// Highest configuration that another daemon told of, and where to get it.
-    pub behind: RefCell<Option<std::net::SocketAddr>>,
+    /// Daemon that told of a later configuration.
+    pub config_from: Cell<Option<SocketAddr>>,
+    /// Daemon that knows members that this one does not.
+    pub members_from: Cell<Option<SocketAddr>>,
+    pub leads: RefCell<Leads>,
+    /// Words about members that the store told, for the daemons of the zone.
+    pub member_news: RefCell<Vec<Member>>,
     pub local: RefCell<LocalInstance>,
     pub directory: RefCell<Directory>,
     pub placer: RefCell<Placer>,
@@ -101,7 +111,14 @@
             incarnation: Cell::new(incarnation),
             tables: RefCell::default(),
             config_bytes: RefCell::default(),
-            behind: RefCell::default(),
+            config_from: Cell::new(None),
+            members_from: Cell::new(None),
+            leads: RefCell::new(Leads::new(
+                boot.daemon.clone(),
+                boot.zone.clone(),
+                strength(boot.core_permille, boot.link_mbps),
+            )),
+            member_news: RefCell::default(),
             local: RefCell::default(),
             directory: RefCell::default(),
             placer: RefCell::new(Placer::new(PlacingCfg::default(), boot.zone.clone())),
@@ -190,20 +207,35 @@
     }
 
     /// Takes in a word of a daemon about itself; `source` says which way it came.
-    pub fn learn_member(&self, member: Member, source: &'static str) {
+    pub fn learn_member(&self, member: Member, source: &'static str) -> Merge {
         if member.daemon == self.name() {
             self.outrun(&member);
-            return;
+            return Merge::Known;
         }
         let now = Instant::now();
         let described = describe(&member);
-        if self.directory.borrow_mut().merge(member, now) == Merge::Newer {
+        let merge = self.directory.borrow_mut().merge(member, now);
+        if merge == Merge::Newer {
             self.resize_retries();
             self.believe(
                 "member-learned",
                 || json!({ "member": described, "source": source }),
             );
         }
+        merge
+    }
+
+    /// Whether this daemon reads the store for its zone.
+    pub fn is_lead(&self) -> bool {
+        !self.stopping.is_set() && self.leads.borrow().role(Instant::now()) == Role::Lead
+    }
+
+    /// This daemon's claim to lead its zone, once it knows what the store holds.
+    pub fn claim(&self) -> Option<Claim> {
+        let leads = self.leads.borrow();
+        let is_claimed =
+            self.is_lead() && self.has_members.get() && !leads.is_failing(Instant::now());
+        is_claimed.then(|| leads.own_claim(self.directory.borrow().digest()))
     }
 
     /// An incarnation of this daemon that ran under a clock ahead of the present one must not
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -146,6 +146,12 @@
         self.node.is_ready()
     }
 
+    /// Whether this daemon reads the store for its zone.
+    #[must_use]
+    pub fn is_lead(&self) -> bool {
+        self.node.is_lead()
+    }
+
     /// Other daemons and this one, as far as they are known here.
     #[must_use]
     pub fn members(&self) -> usize {
@@ -204,6 +210,7 @@
         .map_err(|e| StartError::Listen(inner_address, e))?;
     *node.socket.borrow_mut() = Some(Rc::clone(&socket));
     monoio::spawn(gossip::send(Rc::clone(node), Rc::clone(&socket)));
+    monoio::spawn(gossip::lead(Rc::clone(node), Rc::clone(&socket)));
     monoio::spawn(gossip::send_evidence(Rc::clone(node), Rc::clone(&socket)));
     monoio::spawn(gossip::receive(Rc::clone(node), socket));
     monoio::spawn(follow::follow(Rc::clone(node), Topic::Operator));
--- a/crates/sidecar/tests/path.rs
+++ b/crates/sidecar/tests/path.rs
@@ -94,7 +94,8 @@
         retry_ratio: 0.2,
         retry_slack: 1000.0,
         grace: Duration::from_secs(1),
-        memory: 1 << 28,
+        core_permille: 200,
+        link_mbps: 1000,
     }
 }
 
@@ -329,6 +330,31 @@
     });
 }
 
+#[test]
+fn daemons_that_follow_hear_of_a_configuration_from_the_leads() {
+    with_fleet(7, |store, front, back| async move {
+        let third = machine(boot(7, 4, "spare"), 4).await;
+        let fourth = machine(boot(7, 5, "spare"), 5).await;
+        let followers = [&third, &fourth];
+        until("two of four lead", || {
+            front.daemon.is_lead()
+                && back.daemon.is_lead()
+                && followers
+                    .iter()
+                    .all(|f| !f.daemon.is_lead() && f.daemon.members() == 4)
+        })
+        .await;
+        put_config(&store, 9, "bookings");
+        until("all have the configuration", || {
+            followers.iter().all(|f| f.daemon.config() == 9)
+        })
+        .await;
+        third.close().await;
+        fourth.close().await;
+        (front, back)
+    });
+}
+
 /// Waits until a request is served, so that the front knows the instance.
 async fn wait_for_instance(front: &Machine) {
     let end = Instant::now() + PATIENCE;
