Tell all callers what an instance fails, and judge a version by what its service fails

Ruled out: one bad instance (14 of 14 told the rise within half a second). Change: the daemon beside the instance counts failures, fading, and tells them with each reply and at once when they rise (mesh::health). Only what lies beyond the best sibling and a tenth counts against an instance. A verdict takes the better half of the target's instances, and the latest answers of the old version where they are worse than its mean. Tests first: a_failing_instance_is_known_to_all_callers_from_the_first_failures (26 of 300 failed before, the bound is 12), a_few_failing_instances_do_not_make_a_version_bad, trouble_of_the_whole_service_does_not_make_a_version_bad.

--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -6,6 +6,7 @@
 //! judged against the old one in the same time. A verdict is final.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use base::FastMap;
 use base::Offset;
@@ -17,6 +18,7 @@
 use serde::Serialize;
 
 use crate::config::RouteName;
+use crate::health::Health;
 
 /// An operator's order to move a service to a version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -211,50 +213,100 @@
 #[derive(Debug, Default)]
 pub struct Docket {
     by_instance: FastMap<(ServiceName, VersionName, UnixMillis, base::DaemonId), Evidence>,
+    /// The latest answers of each version by route, over its instances.
+    recent: FastMap<(ServiceName, VersionName, RouteName), Health>,
+}
+
+impl Evidence {
+    fn answers(&self) -> u32 {
+        let counts = self.routes.iter().map(|(_, count)| count);
+        counts.map(|count| count.answers + count.missing).sum()
+    }
 }
 
 impl Docket {
     /// Takes in the counts of one instance.
-    pub fn merge(&mut self, daemon: &base::DaemonId, evidence: Evidence) {
+    pub fn merge(&mut self, daemon: &base::DaemonId, evidence: Evidence, now: Instant) {
         let key = (
             evidence.service.clone(),
             evidence.version.clone(),
             evidence.born,
             daemon.clone(),
         );
-        let answers = |evidence: &Evidence| -> u32 {
-            evidence
-                .routes
-                .iter()
-                .map(|r| r.1.answers + r.1.missing)
-                .sum()
-        };
-        match self.by_instance.get(&key) {
-            Some(known) if answers(known) >= answers(&evidence) => {}
-            _ => {
-                self.by_instance.insert(key, evidence);
+        if let Some(known) = self.by_instance.get(&key) {
+            if known.answers() >= evidence.answers() {
+                return;
+            }
+            for (route, count) in &evidence.routes {
+                let before = known.routes.iter().find(|(name, _)| name == route);
+                let (answers, failures) = match before {
+                    Some((_, before)) => (
+                        count.answers.saturating_sub(before.answers),
+                        count.failures.saturating_sub(before.failures),
+                    ),
+                    None => (count.answers, count.failures),
+                };
+                let key = (key.0.clone(), key.1.clone(), route.clone());
+                let recent = self.recent.entry(key).or_default();
+                recent.count_all(answers.saturating_sub(failures), failures, now);
             }
         }
+        self.by_instance.insert(key, evidence);
     }
 
     /// Judges the target of a move against the other versions of its service.
     #[must_use]
     pub fn verdict(&self, service: &ServiceName, target: &VersionName) -> Verdict {
-        let new = self.counts(service, |version| version == target);
+        let new = self.by_instance(service, target);
         let old = self.counts(service, |version| version != target);
-        if new
-            .iter()
-            .any(|(route, count)| is_bad(count, old.get(route)))
-        {
+        let is_route_bad = |(route, counts): (&RouteName, &Vec<RouteCount>)| {
+            let old_recent = self.recent_failures(service, target, route);
+            is_bad(&better_half(counts), old.get(route), old_recent)
+        };
+        if new.iter().any(is_route_bad) {
             return Verdict::Bad;
         }
-        let answers: u32 = new.values().map(|count| count.answers).sum();
+        let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
         if answers < MIN_ANSWERS {
             return Verdict::Open;
         }
         Verdict::Good
     }
 
+    /// Share of the latest answers of the other versions that were failures, on one route. It stays
+    /// what it was while the target gets all requests.
+    fn recent_failures(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+        route: &RouteName,
+    ) -> f64 {
+        let others = self
+            .recent
+            .iter()
+            .filter(|((of, version, on), _)| of == service && version != target && on == route);
+        others
+            .map(|(_, health)| health.failures_then())
+            .fold(0.0, f64::max)
+    }
+
+    /// Counts of each instance of the target, by route.
+    fn by_instance(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+    ) -> FastMap<RouteName, Vec<RouteCount>> {
+        let mut counts: FastMap<RouteName, Vec<RouteCount>> = FastMap::default();
+        let kept = self
+            .by_instance
+            .values()
+            .filter(|evidence| evidence.service == *service && evidence.version == *target);
+        for (route, count) in kept.flat_map(|evidence| &evidence.routes) {
+            counts.entry(route.clone()).or_default().push(count.clone());
+        }
+        counts
+    }
+
     /// Counts of the target and of the other versions by route, for the log.
     #[must_use]
     pub fn compare(
@@ -290,13 +342,46 @@
     }
 }
 
-fn is_bad(new: &RouteCount, old: Option<&RouteCount>) -> bool {
+/// Sum of the better half of a version's instances, since a few that fail or are slow are the trouble
+/// of their machines and not of the version; of all where the better half answered too little.
+fn better_half(counts: &[RouteCount]) -> RouteCount {
+    let mut sorted: Vec<&RouteCount> = counts.iter().collect();
+    sorted.sort_by(|a, b| badness(a).total_cmp(&badness(b)));
+    let sum = |counts: &[&RouteCount]| {
+        let mut sum = RouteCount::default();
+        for count in counts {
+            sum.add(count);
+        }
+        sum
+    };
+    let half = sum(&sorted[..sorted.len().div_ceil(2)]);
+    if half.answers >= MIN_ANSWERS {
+        half
+    } else {
+        sum(&sorted)
+    }
+}
+
+/// Order of instances: first by the share of requests that failed, then by their time.
+fn badness(count: &RouteCount) -> f64 {
+    let failed = f64::from(count.failures + count.missing);
+    let share = failed / f64::from((count.answers + count.missing).max(1));
+    share + mean_ms(count) / SLOWEST_MS
+}
+
+/// A mean time, in milliseconds, that weighs as much as a failure of each request; clients wait for
+/// less.
+const SLOWEST_MS: f64 = 10_000.0;
+
+fn is_bad(new: &RouteCount, old: Option<&RouteCount>, old_recent: f64) -> bool {
     let missing = f64::from(new.missing) / f64::from((new.answers + new.missing).max(1));
     if new.missing >= MIN_FAILURES && missing > MISSING_LIMIT {
         return true;
     }
-    let old_failures = old.map_or(0.0, failure_share);
-    let allowed = (old_failures * FAILURE_RATIO).max(FAILURE_FLOOR);
+    // Trouble of the whole service shows in the latest answers of the old version as well.
+    let old_failures = old.map_or(0.0, failure_share).max(old_recent);
+    let halfway = f64::midpoint(old_failures, 1.0);
+    let allowed = (old_failures * FAILURE_RATIO).clamp(FAILURE_FLOOR, halfway);
     if new.failures >= MIN_FAILURES && failure_share(new) > allowed {
         return true;
     }
--- a/crates/mesh/src/placing.rs
+++ b/crates/mesh/src/placing.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers instances of unlike speed, slow, cold and failing ones, and callers that all see the
 //! same idle instance at once. An instance is judged by the share of its room that is taken: the
-//! load that it told last, the requests sent there since, and its pace against its siblings. The
-//! own availability zone comes first while it has room. Among the others the better of two random
+//! load that it told last, the requests sent there since, its pace against its siblings, and how many
+//! more of its requests it fails than they do. The own availability zone comes first while it has room. Among the others the better of two random
 //! ones is taken, so that callers with the same news do not all choose the same instance.
 
 use std::time::Duration;
@@ -17,6 +17,8 @@
 
 use crate::config::RouteName;
 use crate::directory::Entry;
+use crate::health::Health;
+use crate::health::fading;
 
 /// Settings of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,10 +29,13 @@
     pub near_until: f64,
     /// Factor on the taken room of an instance in the own zone: traffic between zones costs time.
     pub near_factor: f64,
-    /// Weight of the latest answer in the pace and the share of failures.
+    /// Weight of the latest answer in the pace.
     pub smoothing: f64,
-    /// How much a share of failures of 1 adds to the room taken.
+    /// How much a share of failures of 1 adds to the room taken, as far as it lies beyond that of the
+    /// best sibling and what is tolerated.
     pub failure_penalty: f64,
+    /// Share of failures that rules no instance out: calls of its requests fail now and then.
+    pub failures_tolerated: f64,
     /// Factor on the room of an instance that is slow after its start.
     pub cold_room: f64,
     /// First pause after an instance could not be reached; each further one is twice as long.
@@ -49,7 +54,9 @@
             // Between zones a request takes some milliseconds more, a few percent of its time.
             near_factor: 0.75,
             smoothing: 0.1,
-            failure_penalty: 4.0,
+            // An idle instance that failed one of its last five requests counts as nearly full.
+            failure_penalty: 8.0,
+            failures_tolerated: 0.1,
             // The platform's instances take twice the time while cold.
             cold_room: 0.5,
             first_pause: Duration::from_millis(300),
@@ -64,10 +71,13 @@
     born: UnixMillis,
     in_flight: u32,
     told: Option<(Load, Instant)>,
+    /// Share of failures that the instance's daemon told, and when.
+    told_failures: Option<(f64, Instant)>,
     /// Requests sent since the load was told.
     sent_since: u32,
     pace: f64,
-    failures: f64,
+    /// What this daemon saw of its own requests there.
+    health: Health,
     pauses: u32,
     paused_until: Option<Instant>,
 }
@@ -133,36 +143,57 @@
             let last = pick(candidates, draws.0).copied();
             return last.filter(|_| is_last_resort);
         }
+        let best = open
+            .iter()
+            .map(|entry| self.failures(entry, now))
+            .fold(1.0, f64::min);
+        let excused = best.max(self.cfg.failures_tolerated);
+        let taken = |entry: &Entry| {
+            let excess = (self.failures(entry, now) - excused).max(0.0);
+            self.busy(entry, now) + self.cfg.failure_penalty * excess
+        };
         let near = open
             .iter()
             .copied()
             .filter(|entry| entry.member.zone == self.zone)
-            .min_by(|a, b| self.taken(a, now).total_cmp(&self.taken(b, now)));
-        if let Some(near) = near
-            && self.taken(near, now) < self.cfg.near_until
+            .map(|entry| (entry, taken(entry)))
+            .min_by(|a, b| a.1.total_cmp(&b.1));
+        if let Some((near, near_taken)) = near
+            && near_taken < self.cfg.near_until
         {
             return Some(near);
         }
+        let cost = |entry: &Entry| {
+            let is_near = entry.member.zone == self.zone;
+            taken(entry) * if is_near { self.cfg.near_factor } else { 1.0 }
+        };
         let one = *pick(&open, draws.0)?;
         let other = *pick(&open, draws.1)?;
-        [Some(one), Some(other), near]
+        [Some(one), Some(other), near.map(|near| near.0)]
             .into_iter()
             .flatten()
-            .min_by(|a, b| self.cost(a, now).total_cmp(&self.cost(b, now)))
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    fn cost(&self, entry: &Entry, now: Instant) -> f64 {
-        let taken = self.taken(entry, now);
-        if entry.member.zone == self.zone {
-            taken * self.cfg.near_factor
-        } else {
-            taken
-        }
+    /// Share of its latest requests that an instance failed, as its daemon told or this one saw.
+    fn failures(&self, entry: &Entry, now: Instant) -> f64 {
+        let Some(seen) = self.known(entry) else {
+            return 0.0;
+        };
+        let told = match seen.told_failures {
+            Some((failures, at)) => failures * fading(now.saturating_duration_since(at)),
+            None => 0.0,
+        };
+        told.max(seen.health.failures(now))
     }
 
-    /// Share of the instance's room that is taken, with this request.
+    /// Share of the instance's room that is taken with this request, where failures take room too.
     #[must_use]
     pub fn taken(&self, entry: &Entry, now: Instant) -> f64 {
+        self.busy(entry, now) + self.cfg.failure_penalty * self.failures(entry, now)
+    }
+
+    fn busy(&self, entry: &Entry, now: Instant) -> f64 {
         let slots = entry.member.instance.as_ref().map_or(1, |info| info.slots);
         let mut room = f64::from(slots.max(1));
         if !entry.cold_left(now).is_zero() {
@@ -178,7 +209,7 @@
             _ => 0,
         };
         let busy = f64::from(told.max(seen.in_flight) + 1);
-        busy * seen.pace / room + self.cfg.failure_penalty * seen.failures
+        busy * seen.pace / room
     }
 
     /// Notes that a request goes to an instance.
@@ -204,11 +235,11 @@
                     let pace = seen.pace + smoothing * (ratio - seen.pace);
                     seen.pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
                 }
-                seen.failures -= smoothing * seen.failures;
+                seen.health.count(false, now);
                 seen.pauses = 0;
                 seen.paused_until = None;
             }
-            Finding::Failed => seen.failures += smoothing * (1.0 - seen.failures),
+            Finding::Failed => seen.health.count(true, now),
             Finding::Unreachable => {
                 let pause = first.saturating_mul(1 << seen.pauses.min(8)).min(max);
                 seen.pauses += 1;
@@ -218,10 +249,11 @@
         }
     }
 
-    /// Notes the load that an instance told.
-    pub fn told(&mut self, entry: &Entry, load: Load, now: Instant) {
+    /// Notes the load and the share of failures, in thousandths, that an instance's daemon told.
+    pub fn told(&mut self, entry: &Entry, load: Load, failures: u16, now: Instant) {
         let seen = self.seen_mut(entry);
         seen.told = Some((load, now));
+        seen.told_failures = Some((f64::from(failures) / 1e3, now));
         seen.sent_since = 0;
     }
 
@@ -270,9 +302,10 @@
             born,
             in_flight: 0,
             told: None,
+            told_failures: None,
             sent_since: 0,
             pace: 1.0,
-            failures: 0.0,
+            health: Health::default(),
             pauses: 0,
             paused_until: None,
         }
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -1,6 +1,7 @@
 //! Replays of good and bad versions.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::moves::Docket;
 use crate::moves::Evidence;
@@ -63,8 +64,8 @@
     let check = |new: &[(&str, u32, u32, u64)], expected: Verdict| {
         let mut docket = Docket::default();
         let old = [("browse", 1000, 2, 90), ("hold", 400, 2, 120)];
-        docket.merge(&"a".into(), evidence("v1", &old));
-        docket.merge(&"b".into(), evidence("v2", new));
+        docket.merge(&"a".into(), evidence("v1", &old), Instant::now());
+        docket.merge(&"b".into(), evidence("v2", new), Instant::now());
         let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
         assert_eq!(verdict, expected, "{new:?}");
     };
@@ -86,10 +87,14 @@
 fn lost_answers_do_not_make_a_version_bad() {
     let check = |missing: u32, expected: Verdict| {
         let mut docket = Docket::default();
-        docket.merge(&"a".into(), evidence("v1", &[("browse", 7623, 12, 98)]));
+        docket.merge(
+            &"a".into(),
+            evidence("v1", &[("browse", 7623, 12, 98)]),
+            Instant::now(),
+        );
         let mut evidence = evidence("v2", &[("browse", 748, 0, 100)]);
         evidence.routes[0].1.missing = missing;
-        docket.merge(&"b".into(), evidence);
+        docket.merge(&"b".into(), evidence, Instant::now());
         let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
         assert_eq!(verdict, expected, "{missing} missing");
     };
@@ -102,14 +107,18 @@
 fn a_version_that_is_slow_for_some_requests_is_bad() {
     let check = |slow: u32, expected: Verdict| {
         let mut docket = Docket::default();
-        docket.merge(&"a".into(), evidence("v1", &[("browse", 1000, 0, 90)]));
+        docket.merge(
+            &"a".into(),
+            evidence("v1", &[("browse", 1000, 0, 90)]),
+            Instant::now(),
+        );
         let mut evidence = evidence("v2", &[("browse", 100 - slow, 0, 90)]);
         for _ in 0..slow {
             evidence.routes[0]
                 .1
                 .count(Duration::from_millis(700), false);
         }
-        docket.merge(&"b".into(), evidence);
+        docket.merge(&"b".into(), evidence, Instant::now());
         let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
         assert_eq!(verdict, expected, "{slow} slow of 100");
     };
@@ -157,7 +166,11 @@
 fn copies_of_evidence_count_once() {
     let mut docket = Docket::default();
     for answers in [20, 60, 40, 60] {
-        docket.merge(&"b".into(), evidence("v2", &[("browse", answers, 4, 90)]));
+        docket.merge(
+            &"b".into(),
+            evidence("v2", &[("browse", answers, 4, 90)]),
+            Instant::now(),
+        );
     }
     // Four failures are too few, however often they are told.
     let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
@@ -254,3 +267,60 @@
     let target = "v2".into();
     assert_eq!(moves.versions("catalogue", 0), Versions::Only(&target));
 }
+
+#[test]
+fn a_few_failing_instances_do_not_make_a_version_bad() {
+    let check = |instances: &[(u32, u32, u64)], expected: Verdict| {
+        let mut docket = Docket::default();
+        docket.merge(
+            &"a".into(),
+            evidence("v1", &[("browse", 2816, 191, 217)]),
+            Instant::now(),
+        );
+        for (index, (answers, failures, mean_ms)) in instances.iter().enumerate() {
+            let daemon = format!("b{index}").into();
+            let counts = [("browse", *answers, *failures, *mean_ms)];
+            docket.merge(&daemon, evidence("v2", &counts), Instant::now());
+        }
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+        assert_eq!(verdict, expected, "{instances:?}");
+    };
+    // Two of five instances fail while the version is good: 57 of 156 answers.
+    let grey = [
+        (33, 1, 242),
+        (33, 0, 242),
+        (30, 0, 242),
+        (30, 28, 20),
+        (30, 28, 20),
+    ];
+    check(&grey, Verdict::Good);
+    check(&[(30, 0, 230), (30, 0, 900)], Verdict::Good);
+    check(&[(20, 10, 200), (20, 8, 200), (20, 9, 200)], Verdict::Bad);
+    check(&[(20, 0, 900), (20, 0, 800), (20, 0, 900)], Verdict::Bad);
+    // Where the better half tells too little, all count.
+    check(&[(4, 0, 200), (20, 16, 200)], Verdict::Bad);
+    check(&[(20, 16, 200)], Verdict::Bad);
+}
+
+#[test]
+fn trouble_of_the_whole_service_does_not_make_a_version_bad() {
+    // All instances of both versions begin to fail half of their requests at 11 s of the move, while
+    // the target's share is 3%; at 50% and at all the target goes on to fail half.
+    let start = Instant::now();
+    let mut docket = Docket::default();
+    let mut told = |at_ms: u64, old: (u32, u32), new: (u32, u32)| {
+        let now = start + Duration::from_millis(at_ms);
+        let old = evidence("v1", &[("browse", old.0, old.1, 217)]);
+        let new = evidence("v2", &[("browse", new.0, new.1, 240)]);
+        docket.merge(&"a".into(), old, now);
+        docket.merge(&"b".into(), new, now);
+        docket.verdict(&"catalogue".into(), &"v2".into())
+    };
+    assert_eq!(told(10_900, (2600, 60), (50, 1)), Verdict::Good);
+    assert_eq!(told(11_200, (2658, 97), (58, 4)), Verdict::Good);
+    assert_eq!(told(11_500, (2735, 140), (74, 12)), Verdict::Good);
+    assert_eq!(told(12_000, (2792, 171), (166, 60)), Verdict::Good);
+    assert_eq!(told(13_000, (2792, 171), (300, 130)), Verdict::Good);
+    // A version that fails nearly all is bad all the same.
+    assert_eq!(told(14_000, (2792, 171), (700, 560)), Verdict::Bad);
+}
--- a/crates/mesh/src/tests/placing.rs
+++ b/crates/mesh/src/tests/placing.rs
@@ -6,6 +6,8 @@
 use protocol::call::Load;
 
 use crate::directory::Entry;
+use crate::health::Alarm;
+use crate::health::Health;
 use crate::placing::Draws;
 use crate::placing::Finding;
 use crate::placing::Placer;
@@ -63,12 +65,12 @@
     let far = entry("far", "nadi-a", Duration::ZERO, now);
     let mut placer = placer();
     assert_eq!(chosen(&placer, &[&near, &far], (1, 1), now), "near");
-    placer.told(&near, load(7), now);
+    placer.told(&near, load(7), 0, now);
     assert_eq!(chosen(&placer, &[&near, &far], (1, 1), now), "near");
-    placer.told(&near, load(10), now);
+    placer.told(&near, load(10), 0, now);
     assert_eq!(chosen(&placer, &[&near, &far], (1, 1), now), "far");
     // Where all are as full, the way between zones is saved.
-    placer.told(&far, load(10), now);
+    placer.told(&far, load(10), 0, now);
     assert_eq!(chosen(&placer, &[&near, &far], (1, 1), now), "near");
 }
 
@@ -78,8 +80,8 @@
     let one = entry("one", "nadi-a", Duration::ZERO, now);
     let other = entry("other", "nadi-a", Duration::ZERO, now);
     let mut placer = placer();
-    placer.told(&one, load(0), now);
-    placer.told(&other, load(3), now);
+    placer.told(&one, load(0), 0, now);
+    placer.told(&other, load(3), 0, now);
     for _ in 0..5 {
         placer.started(&one);
     }
@@ -125,3 +127,55 @@
     placer.heard("gone");
     assert_eq!(chosen(&placer, &[&gone, &far], (0, 0), now), "gone");
 }
+
+/// A service of five instances, one of which fails all of its requests at once; twelve callers send
+/// sixty requests a second in turn.
+#[test]
+fn a_failing_instance_is_known_to_all_callers_from_the_first_failures() {
+    let start = Instant::now();
+    let entries: Vec<Entry> = (0..5)
+        .map(|index| entry(&format!("i{index}"), "nadi-a", Duration::ZERO, start))
+        .collect();
+    let candidates: Vec<&Entry> = entries.iter().collect();
+    let mut callers: Vec<Placer> = (0..12).map(|_| placer()).collect();
+    let mut health = [(); 5].map(|()| Health::default());
+    let mut alarm = Alarm::default();
+    let mut failed = 0;
+    let mut random = 1_u64;
+    for request in 0..300_u32 {
+        let now = start + request * Duration::from_millis(16);
+        let number = usize::try_from(request % 12).unwrap();
+        let caller = &mut callers[number];
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let draws = Draws(random >> 33, random >> 13);
+        let chosen = caller.choose(&candidates, draws, true, now).unwrap();
+        let index = entries
+            .iter()
+            .position(|entry| entry.member.daemon == chosen.member.daemon)
+            .unwrap();
+        let is_failure = index == 0;
+        health[index].count(is_failure, now);
+        caller.started(chosen);
+        // A failing instance is always idle.
+        let running = if is_failure { 0 } else { 5 };
+        let failures = health[index].failures_permille(now);
+        caller.told(chosen, load(running), failures, now);
+        if is_failure && alarm.is_due(failures) {
+            for caller in &mut callers {
+                caller.told(chosen, load(running), failures, now);
+            }
+        }
+        let caller = &mut callers[number];
+        let finding = if is_failure {
+            failed += 1;
+            Finding::Failed
+        } else {
+            Finding::Good(Duration::from_millis(90))
+        };
+        caller.ended(chosen, &"route".into(), finding, now);
+    }
+    // Fewer than one for each caller.
+    assert!(failed < callers.len(), "{failed} of 300 failed");
+}
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -109,6 +109,8 @@
     pub outcome: GateOutcome,
     /// Load of the instance when the reply was made.
     pub load: Load,
+    /// Share of its latest requests that the instance failed, in thousandths.
+    pub failures: u16,
     /// Configuration in force at the gate.
     pub config: ConfigVersion,
     /// The gate's word about itself, where the caller side has an older one.
@@ -124,6 +126,8 @@
     pub config: ConfigVersion,
     /// Load of the sender's instance.
     pub load: Load,
+    /// Share of its latest requests that the sender's instance failed, in thousandths.
+    pub failures: u16,
     /// What the sender's instance did in a move, if there is one.
     pub evidence: Option<crate::moves::Evidence>,
     /// Moves that the sender knows.
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mesh::health::Alarm;
 use mesh::wire::InstanceInfo;
 use mesh::wire::Member;
 use mesh::wire::Record;
@@ -27,6 +28,7 @@
     let mut backoff = Backoff::new(BACKOFF, node.random());
     let mut stored: Option<(u64, u64)> = None;
     let mut told: Option<(u64, u64)> = None;
+    let mut alarm = Alarm::default();
     let mut failed: Option<(Instant, Duration)> = None;
     loop {
         monoio::time::sleep(LOOK_EVERY).await;
@@ -35,7 +37,15 @@
             continue;
         };
         let order = (member.incarnation, member.revision);
-        if told != Some(order) {
+        let failures = node.gate.failures(Instant::now());
+        let is_alarm = alarm.is_due(failures);
+        if is_alarm {
+            node.believe(
+                "instance-fails",
+                || json!({ "failures_permille": failures }),
+            );
+        }
+        if is_alarm || told != Some(order) {
             told = Some(order);
             node.tell_all().await;
         }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -63,8 +63,9 @@
         let member = &to.member;
         if member.daemon == self.name() {
             let passed = self.pass(head, req.clone(), Instant::now()).await;
-            let load = self.gate.load();
-            self.placer.borrow_mut().told(to, load, Instant::now());
+            let (load, now) = (self.gate.load(), Instant::now());
+            let failures = self.gate.failures(now);
+            self.placer.borrow_mut().told(to, load, failures, now);
             return Forwarded::Replied(passed);
         }
         let Ok(mut conn) = self.inner.take(member.address).await else {
@@ -98,7 +99,7 @@
         res.headers.remove(OUTCOME_HEADER);
         self.placer
             .borrow_mut()
-            .told(to, reply.load, Instant::now());
+            .told(to, reply.load, reply.failures, Instant::now());
         self.note_config(reply.config, to.member.address);
         if let Some(member) = reply.member {
             self.learn_member(member, "reply");
@@ -187,6 +188,7 @@
         let reply = GateReply {
             outcome: passed.outcome,
             load: self.node.gate.load(),
+            failures: self.node.gate.failures(Instant::now()),
             config: self.node.tables.borrow().version(),
             member,
         };
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -20,6 +20,7 @@
 use mesh::gate::GateCfg;
 use mesh::gate::Next;
 use mesh::gate::Offer;
+use mesh::health::Health;
 use mesh::instance::Change;
 use mesh::moves::Evidence;
 use mesh::moves::RouteCount;
@@ -82,6 +83,7 @@
     conns: Pool,
     instance: Cell<SocketAddr>,
     counts: RefCell<Counts>,
+    health: RefCell<Health>,
 }
 
 /// What a request tells of the instance's version.
@@ -121,6 +123,7 @@
             conns: Pool::new(pool),
             instance: Cell::new(instance),
             counts: RefCell::default(),
+            health: RefCell::default(),
         }
     }
 
@@ -129,6 +132,11 @@
         self.gate.borrow().load()
     }
 
+    /// Share of its latest requests that the instance failed, in thousandths.
+    pub fn failures(&self, now: Instant) -> u16 {
+        self.health.borrow().failures_permille(now)
+    }
+
     /// Changes the address of the instance.
     pub fn set_instance(&self, address: SocketAddr) {
         if self.instance.replace(address) != address {
@@ -145,6 +153,7 @@
                 ..Counts::default()
             };
             self.gate.borrow_mut().reset_service_times();
+            *self.health.borrow_mut() = Health::default();
             self.conns.forget(self.instance.get());
         }
         drop(counts);
@@ -204,6 +213,11 @@
         })
     }
 
+    fn note_health(&self, is_failure: bool) {
+        let now = Instant::now();
+        self.health.borrow_mut().count(is_failure, now);
+    }
+
     fn count(&self, node: &Node, head: &GateHead, counted: Counted) {
         let local = node.local.borrow();
         let is_cold = local
@@ -298,6 +312,7 @@
             Ok(res) => res,
             Err(e) => {
                 drop(conn);
+                self.gate.note_health(true);
                 self.gate.count(self, head, Counted::Missing);
                 self.lines
                     .line(Class::Failure, "answer-missing", Instant::now(), || {
@@ -312,6 +327,7 @@
             }
         };
         let answer = answers::decode(&res, &head.request);
+        self.gate.note_health(answer != InstanceAnswer::Done);
         if answer == InstanceAnswer::Foreign {
             drop(conn);
             return Passed::without_answer(GateOutcome::Unknown);
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -200,6 +200,7 @@
             members,
             config: self.tables.borrow().version(),
             load: self.gate.load(),
+            failures: self.gate.failures(Instant::now()),
             evidence: evidence.flatten(),
             moves: moves.records().cloned().collect(),
             claim: self.claim(),
@@ -217,7 +218,9 @@
         self.hear(&sender);
         self.take_claim(&sender, gossip.claim, from);
         if let Some(evidence) = gossip.evidence {
-            self.docket.borrow_mut().merge(&sender, evidence);
+            self.docket
+                .borrow_mut()
+                .merge(&sender, evidence, Instant::now());
         }
         for record in gossip.moves {
             self.learn_move(record, "gossip");
@@ -228,7 +231,9 @@
             && entry.member.instance.is_some()
         {
             let now = Instant::now();
-            self.placer.borrow_mut().told(entry, gossip.load, now);
+            self.placer
+                .borrow_mut()
+                .told(entry, gossip.load, gossip.failures, now);
         }
     }
 
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -124,7 +124,9 @@
 
     fn decide(&self, record: &MoveRecord) -> MoveRecord {
         if let Some(evidence) = self.gate.evidence(self) {
-            self.docket.borrow_mut().merge(&self.name(), evidence);
+            self.docket
+                .borrow_mut()
+                .merge(&self.name(), evidence, Instant::now());
         }
         let order = &record.order;
         let verdict = self.docket.borrow().verdict(&order.service, &order.target);
