Add bronzehead explain: requests, configurations and moves from logs

The way of one request through the logs of several daemons, with the calls of its run, what the daemons on its way believed and the cause of its end; which daemon had a configuration when; the decisions on a move. Tests: a_refused_request_is_explained_by_its_gate, a_failed_call_explains_the_failure_of_its_request, a_configuration_is_followed_through_the_daemons, a_move_is_told_with_its_last_decision.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod args;
 mod daemons;
 mod exit;
+mod explain;
 mod output;
 mod report;
 mod settings;
@@ -40,6 +41,7 @@
         .subcommand(settings::command())
         .subcommand(status::command())
         .subcommand(report::command())
+        .subcommand(explain::command())
 }
 
 fn run(matches: &ArgMatches) -> Result<Exit, CliError> {
@@ -48,6 +50,7 @@
         Some(("settings", matches)) => settings::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
