--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -27,6 +27,7 @@
 use crate::forward::MEMBERS_PATH;
 use crate::node::Node;
 use crate::node::Shared;
+use crate::packed;
 
 /// How long the store holds a read without news. The two leads of a zone cost a dozen calls a minute
 /// with it.
@@ -120,7 +121,13 @@
             && let Some(bytes) = node.fetch(address, CONFIG_PATH).await
             && !bytes.is_empty()
         {
-            node.adopt_config(&bytes, "daemon");
+            match packed::unpack(&bytes) {
+                Ok(bytes) => node.adopt_config(&bytes, "daemon"),
+                Err(e) => node.believe(
+                    "config-unreadable",
+                    || json!({ "source": "daemon", "from": address, "reason": e.to_string() }),
+                ),
+            }
         }
         if let Some(address) = node.members_from.take()
             && let Some(bytes) = node.fetch(address, MEMBERS_PATH).await
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -114,7 +114,7 @@
     /// What this daemon tells others that ask for it at a path.
     fn tell(&self, path: &str) -> Option<Bytes> {
         match path {
-            CONFIG_PATH => Some(self.config_bytes.borrow().clone()),
+            CONFIG_PATH => Some(self.packed_config.borrow().clone()),
             MEMBERS_PATH => {
                 let directory = self.directory.borrow();
                 let members: Vec<&Member> = directory.entries().map(|e| &e.member).collect();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 mod mover;
 mod node;
+mod packed;
 pub mod run;
 
 #[cfg(test)]
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -48,6 +48,7 @@
 use crate::gate::GateTask;
 use crate::logs::Budget;
 use crate::logs::Class;
+use crate::packed;
 
 /// Idle connections between daemons are not used again after this time; shorter than the time
 /// after which a server closes them.
@@ -64,8 +65,8 @@
     pub boot: RefCell<Boot>,
     pub incarnation: Cell<Incarnation>,
     pub tables: RefCell<TableSlot>,
-    /// The configuration in force as the store gave it, for other daemons.
-    pub config_bytes: RefCell<Bytes>,
+    /// The configuration in force as the store gave it, compressed for other daemons.
+    pub packed_config: RefCell<Bytes>,
     /// Daemon that told of a later configuration.
     pub config_from: Cell<Option<SocketAddr>>,
     /// Daemon that knows members that this one does not.
@@ -110,7 +111,7 @@
         Self {
             incarnation: Cell::new(incarnation),
             tables: RefCell::default(),
-            config_bytes: RefCell::default(),
+            packed_config: RefCell::default(),
             config_from: Cell::new(None),
             members_from: Cell::new(None),
             leads: RefCell::new(Leads::new(
@@ -194,7 +195,7 @@
         };
         let before = self.tables.borrow().version();
         if self.tables.borrow_mut().offer(&cfg) == Adoption::Adopted {
-            *self.config_bytes.borrow_mut() = bytes.clone();
+            *self.packed_config.borrow_mut() = packed::pack(bytes);
             self.believe("config-adopted", || {
                 json!({
                     "version": cfg.version,
--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -1,1 +1,3 @@
 //! Tests of the daemon.
+
+mod packed;
