--- a/cli/src/explain/story.rs
+++ b/cli/src/explain/story.rs
@@ -97,10 +97,13 @@
 
 /// The end of a request in words, with the cause that a line of another daemon gives.
 fn describe_end(end: &Line, own: &[&Line]) -> String {
-    let cause = own.iter().rev().find(|line| {
-        let is_cause = ["gate-refused", "answer-missing"].contains(&line.event.as_str());
-        is_cause && line.text("request") == end.text("request")
-    });
+    let cause_event = match end.event.as_str() {
+        "refused" => "gate-refused",
+        _ => "answer-missing",
+    };
+    let mut causes = own.iter().rev();
+    let cause = causes
+        .find(|line| line.event == cause_event && line.text("request") == end.text("request"));
     let because = match cause {
         Some(line) if line.event == "gate-refused" => format!(
             "; the gate of {} refused it as {} with {} of {} slots taken and {} waiting",
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -128,18 +128,26 @@
     unix_millis(std::time::SystemTime::now())
 }
 
-/// Starts the log.
+/// Starts the log on the standard output.
 ///
 /// # Errors
 /// When the logging library or the thread cannot be started.
 pub fn start() -> Result<LoggerHandle, FlexiLoggerError> {
+    start_on(io::stdout())
+}
+
+/// Starts the log on another output, for programs that embed a daemon.
+///
+/// # Errors
+/// As [`start`].
+pub fn start_on(mut out: impl Write + Send + 'static) -> Result<LoggerHandle, FlexiLoggerError> {
     let (tx, rx) = sync_channel::<Vec<u8>>(PENDING_WRITES);
     std::thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || {
             for buf in rx {
                 // Nobody is left to be told of a closed output.
-                let _ = io::stdout().write_all(&buf);
+                let _ = out.write_all(&buf);
             }
         })
         .map_err(FlexiLoggerError::OutputIo)?;
--- /dev/null
+++ b/crates/sidecar/tests/logs.rs
@@ -0,0 +1,124 @@
+//! A reader that does not read the log holds no request up.
+
+use std::io;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use http_edge::Conn;
+use http_edge::Limits;
+use http_edge::Request;
+use http_edge::Server;
+use http_edge::ServerCfg;
+use sidecar::logs;
+use sidecar::run::Daemon;
+use standin_store::StoreService;
+use users_platform::Boot;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Longer than the log takes to fill its queue: its budget brings about one write a second.
+const BLOCKED: Duration = Duration::from_secs(8);
+
+const IP: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(127, 7, 100, 2));
+
+/// A pipe whose other end reads only after a while.
+struct Pipe {
+    opened: Receiver<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Pipe {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        // Blocks until the test opens the pipe; afterwards the sender is gone.
+        let _ = self.opened.recv();
+        self.written.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::new(IP, port)
+}
+
+fn boot() -> Boot {
+    Boot {
+        daemon: "machine-1".into(),
+        ip: IP,
+        zone: "suva-a".into(),
+        requests: at(9101),
+        ready: at(9102),
+        heartbeats: at(9103),
+        ports: (9105, 9105),
+        instance: at(9104),
+        service: "catalogue".into(),
+        heartbeat_every: Duration::from_mins(1),
+        store: at(9106),
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+        grace: Duration::from_secs(1),
+        core_permille: 200,
+        link_mbps: 1000,
+    }
+}
+
+async fn get(port: u16, path: &str) -> (StatusCode, String) {
+    let mut conn = Conn::connect(at(port), PATIENCE, Limits::default())
+        .await
+        .expect("the daemon listens");
+    let req = Request::get(path)
+        .with_header("host", "shop.example")
+        .with_header("x-request-id", "id");
+    let res = conn.call(req, PATIENCE).await.expect("an answer");
+    (res.status, String::from_utf8_lossy(&res.body).into_owned())
+}
+
+#[test]
+fn a_full_log_pipe_delays_no_request_and_loses_no_count() {
+    let (open, opened) = channel();
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let pipe = Pipe {
+        opened,
+        written: Arc::clone(&written),
+    };
+    let _logger = logs::start_on(pipe).expect("the log starts");
+    http_edge::block_on(async {
+        let listener = http_edge::listen(at(9106)).expect("the address is free");
+        let store = Rc::new(StoreService::default());
+        let server = Server::start(listener, store, ServerCfg::default());
+        let daemon = Daemon::start(boot()).expect("the daemon starts");
+        let since = Instant::now();
+        let mut asked = 0;
+        while since.elapsed() < BLOCKED {
+            // Without a configuration each request is refused, with a line.
+            let (status, _) = get(9101, "/look/1").await;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+            asked += 1;
+        }
+        let (_, metrics) = get(9464, "/metrics").await;
+        let counted = metrics
+            .lines()
+            .find(|line| line.contains("no-configuration"))
+            .and_then(|line| line.rsplit(' ').next())
+            .expect("refusals are counted");
+        assert_eq!(counted, asked.to_string());
+        drop(open);
+        daemon.close().await;
+        server.close(Duration::ZERO).await;
+    });
+    // What was left out is told once the pipe is read.
+    let text = String::from_utf8(written.lock().unwrap().clone()).expect("text");
+    assert!(text.contains("log-writes-dropped"), "{text}");
+}
--- a/xtask/src/tests/docs.rs
+++ b/xtask/src/tests/docs.rs
@@ -51,6 +51,57 @@
     assert!(exists, "{}: {name} does not exist", document.display());
 }
 
+/// Code of the daemon on the users' platform.
+fn sidecar_code() -> String {
+    let dir = fs::read_dir(root().join("crates/sidecar/src")).unwrap();
+    let paths = dir.map(|entry| entry.unwrap().path());
+    let files = paths.filter(|path| path.extension().is_some_and(|extension| extension == "rs"));
+    files
+        .map(|path| fs::read_to_string(path).unwrap())
+        .collect()
+}
+
+/// Names of events that code writes: the first text of a call that writes a line.
+fn written_events(code: &str) -> BTreeSet<&str> {
+    let calls = ["believe(", ".line(", "write("];
+    let starts = calls
+        .iter()
+        .flat_map(|call| code.match_indices(call).map(|(at, call)| at + call.len()));
+    let after = starts.filter_map(|at| {
+        let call = code.get(at..)?;
+        let end = call.find(['{', ';', ')'])?;
+        call[..end].split('"').nth(1)
+    });
+    let is_event = |name: &&str| {
+        name.contains('-') || ["announced", "answered", "refused", "repeat"].contains(name)
+    };
+    after.filter(is_event).collect()
+}
+
+#[test]
+fn the_log_lines_in_the_documents_are_those_of_the_code() {
+    let text = fs::read_to_string(root().join("docs/LOGS.md")).unwrap();
+    let code = sidecar_code();
+    let mut documented = BTreeSet::new();
+    for row in text.lines().filter(|line| line.starts_with("| `")) {
+        let cells: Vec<&str> = row.split('|').collect();
+        for event in quoted(cells[1]) {
+            assert!(code.contains(&format!("\"{event}\"")), "event {event}");
+            documented.insert(event);
+        }
+        for field in quoted(cells[3]) {
+            assert!(
+                code.contains(&format!("\"{field}\":")) || code.contains(&format!("\"{field}\"")),
+                "field {field} of {}",
+                cells[1]
+            );
+        }
+    }
+    for event in written_events(&code) {
+        assert!(documented.contains(event), "{event} is not in docs/LOGS.md");
+    }
+}
+
 #[test]
 fn links_and_paths_in_the_documents_exist() {
     for (path, text) in documents() {
