--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -68,6 +68,8 @@
     pub exposure: Cell<Exposure>,
     /// Whether the target of the move fails most requests.
     pub is_target_bad: Cell<bool>,
+    /// The move was ordered; the target's instances start with that.
+    pub is_ordered: Cell<bool>,
     /// The move is under way.
     pub is_moving: Cell<bool>,
     /// The move has ended well; the old instances are gone.
@@ -124,7 +126,9 @@
             seen,
             rng: RefCell::new(SmallRng::seed_from_u64(draws)),
         };
-        instance.be_born();
+        if version == wire::OLD_VERSION {
+            instance.be_born();
+        }
         instance
     }
 
@@ -142,6 +146,10 @@
             if is_replaced && self.seen.is_moved.get() {
                 *self.phase.borrow_mut() = Phase::Gone;
             }
+            let is_awaited = self.version == wire::NEW_VERSION && self.born.get() == 0;
+            if is_awaited && self.seen.is_ordered.get() {
+                self.be_born();
+            }
             if !matches!(*self.phase.borrow(), Phase::Gone) {
                 self.heartbeat().await;
             }
--- a/xtask/src/soak/story.rs
+++ b/xtask/src/soak/story.rs
@@ -326,6 +326,7 @@
         let seen = &self.clients.seen;
         seen.is_target_bad.set(is_bad);
         seen.is_moving.set(true);
+        seen.is_ordered.set(true);
         let within = self.length / MOVE_PART;
         let (key, text) = wire::order(within);
         self.append(&key, text.as_bytes());
