Judge a move by instances that are heard and by what lives

Ruled out: evidence that did not arrive (the log has the controller's claims at all daemons). Change: the weight of an instance fades against that of its version's latest answer; a target is taken on only while half of its instances are heard. Tests first: an_old_instance_that_failed_and_left_is_no_trouble_of_the_service (unclear before), a_daemon_that_hears_few_instances_of_the_target_lets_it_wait.

--- a/crates/mesh/src/health.rs
+++ b/crates/mesh/src/health.rs
@@ -71,10 +71,17 @@
         self.failed * kept / ((self.good + self.failed) * kept + ASSUMED_GOOD)
     }
 
-    /// Weights of good and failed requests at the time of the last one.
+    /// When a request was counted last.
     #[must_use]
-    pub fn weights(&self) -> (f64, f64) {
-        (self.good, self.failed)
+    pub fn counted(&self) -> Option<Instant> {
+        self.counted
+    }
+
+    /// Weights of good and failed requests at a time.
+    #[must_use]
+    pub fn weights(&self, then: Instant) -> (f64, f64) {
+        let kept = self.kept(then);
+        (self.good * kept, self.failed * kept)
     }
 
     /// The same in thousandths, as it is told to others.
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -194,6 +194,9 @@
 /// Part of the time of a move after which it is complete, in thousandths.
 const COMPLETE_AT: u64 = 860;
 
+/// Time after which an instance whose evidence no longer comes is not heard; some rounds of gossip.
+const EVIDENCE_LIFE: Duration = Duration::from_secs(2);
+
 /// Answers of the target without which no step beyond the first is taken.
 const MIN_ANSWERS: u32 = 12;
 
@@ -254,6 +257,8 @@
 #[derive(Debug, Default)]
 pub struct Docket {
     by_instance: FastMap<InstanceKey, Evidence>,
+    /// When the evidence of an instance arrived last.
+    heard: FastMap<InstanceKey, Instant>,
     /// What was counted before the evidence was forgotten.
     forgotten: FastMap<InstanceKey, Evidence>,
     /// The latest answers of each instance by route.
@@ -284,6 +289,7 @@
             evidence.born,
             daemon.clone(),
         );
+        self.heard.insert(key.clone(), now);
         if let Some(known) = self.by_instance.get(&key) {
             if known.answers() >= evidence.answers() {
                 return;
@@ -298,9 +304,17 @@
         self.by_instance.insert(key, evidence);
     }
 
-    /// Judges the target of a move against the other versions of its service.
+    /// Judges the target of a move, which has so many instances, against the other versions of its
+    /// service. Nothing speaks for it while less than half of its instances are heard: a daemon that
+    /// is cut off from the others must not take its share on.
     #[must_use]
-    pub fn verdict(&self, service: &ServiceName, target: &VersionName) -> Verdict {
+    pub fn verdict(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+        instances: usize,
+        now: Instant,
+    ) -> Verdict {
         let new = self.by_instance(service, target);
         let old = self.counts(service, |version| version != target);
         let verdicts: Vec<Verdict> = new
@@ -319,25 +333,36 @@
             }
         }
         let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
-        if answers < MIN_ANSWERS {
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < EVIDENCE_LIFE;
+        let heard = self.heard.iter();
+        let heard = heard.filter(|(key, at)| key.0 == *service && key.1 == *target && is_fresh(at));
+        if answers < MIN_ANSWERS || heard.count() * 2 < instances {
             return Verdict::Open;
         }
         Verdict::Good
     }
 
-    /// The latest answers on one route of each instance of some versions. They stay what they were
-    /// while a version gets no requests.
+    /// The latest answers on one route of each instance of some versions, as they were when one of them
+    /// answered last: an instance that left fades, and a version that gets no requests stays as it was.
     fn recent(
         &self,
         service: &ServiceName,
         route: &RouteName,
         keep: impl Fn(&VersionName) -> bool,
     ) -> Vec<Recent> {
-        let kept = self
+        let kept: Vec<&Health> = self
             .recent
             .iter()
-            .filter(|((key, on), _)| key.0 == *service && keep(&key.1) && on == route);
-        kept.map(|(_, health)| Recent::of(health)).collect()
+            .filter(|((key, on), _)| key.0 == *service && keep(&key.1) && on == route)
+            .map(|(_, health)| health)
+            .collect();
+        let latest = kept.iter().filter_map(|health| health.counted()).max();
+        let Some(latest) = latest else {
+            return Vec::new();
+        };
+        kept.iter()
+            .map(|health| Recent::of(health, latest))
+            .collect()
     }
 
     /// Counts of each instance of the target, by route.
@@ -455,8 +480,8 @@
 }
 
 impl Recent {
-    fn of(health: &Health) -> Self {
-        let (good, failed) = health.weights();
+    fn of(health: &Health, then: Instant) -> Self {
+        let (good, failed) = health.weights(then);
         Self { good, failed }
     }
 
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -67,7 +67,7 @@
         let old = [("browse", 1000, 2, 90), ("hold", 400, 2, 120)];
         docket.merge(&"a".into(), evidence("v1", &old), Instant::now());
         docket.merge(&"b".into(), evidence("v2", new), Instant::now());
-        let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{new:?}");
     };
     check(&[], Verdict::Open);
@@ -96,7 +96,7 @@
         let mut evidence = evidence("v2", &[("browse", 748, 0, 100)]);
         evidence.routes[0].1.missing = missing;
         docket.merge(&"b".into(), evidence, Instant::now());
-        let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{missing} missing");
     };
     // Connections that broke for a second while the target had all requests.
@@ -120,7 +120,7 @@
                 .count(Duration::from_millis(700), false);
         }
         docket.merge(&"b".into(), evidence, Instant::now());
-        let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{slow} slow of 100");
     };
     check(0, Verdict::Good);
@@ -174,7 +174,7 @@
         );
     }
     // Four failures are too few, however often they are told.
-    let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+    let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
     assert_eq!(verdict, Verdict::Good);
 }
 
@@ -288,7 +288,7 @@
             let counts = [("browse", *answers, *failures, *mean_ms)];
             docket.merge(&daemon, evidence("v2", &counts), Instant::now());
         }
-        let verdict = docket.verdict(&"catalogue".into(), &"v2".into());
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{instances:?}");
     };
     // Two of five instances fail while the version is good: 57 of 156 answers.
@@ -322,7 +322,7 @@
         let new = evidence("v2", &[("browse", new.0, new.1, 300)]);
         docket.merge(&"a".into(), old, now);
         docket.merge(&"b".into(), new, now);
-        docket.verdict(&"catalogue".into(), &"v2".into())
+        docket.verdict(&"catalogue".into(), &"v2".into(), 1, now)
     };
     let good = told(&mut docket, 11_100, (11_600, 200), (277, 13));
     assert_eq!(good, Verdict::Good);
@@ -360,3 +360,44 @@
     // An end replaces any share.
     assert!(moves.merge(record(1, Stage::RolledBack)));
 }
+
+#[test]
+fn an_old_instance_that_failed_and_left_is_no_trouble_of_the_service() {
+    let start = Instant::now();
+    let mut docket = Docket::default();
+    for (at_ms, gone, live, new) in [
+        (0, (400, 10), (1000, 10), (10, 0)),
+        (500, (700, 300), (1040, 10), (12, 0)),
+        (20_000, (700, 300), (1500, 14), (60, 1)),
+        (20_500, (700, 300), (1520, 14), (80, 1)),
+    ] {
+        let now = start + Duration::from_millis(at_ms);
+        let browse = |count: (u32, u32)| [("browse", count.0, count.1, 90)];
+        docket.merge(&"gone".into(), evidence("v1", &browse(gone)), now);
+        docket.merge(&"live".into(), evidence("v1", &browse(live)), now);
+        docket.merge(&"new".into(), evidence("v2", &browse(new)), now);
+    }
+    let now = start + Duration::from_millis(20_500);
+    let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), 1, now);
+    assert_eq!(verdict, Verdict::Good);
+}
+
+#[test]
+fn a_daemon_that_hears_few_instances_of_the_target_lets_it_wait() {
+    let now = Instant::now();
+    let mut docket = Docket::default();
+    docket.merge(&"a".into(), evidence("v1", &[("browse", 900, 1, 90)]), now);
+    docket.merge(&"b".into(), evidence("v2", &[("browse", 60, 0, 90)]), now);
+    let check = |instances: usize, later_ms: u64, expected: Verdict| {
+        let now = now + Duration::from_millis(later_ms);
+        let verdict = docket.verdict(&"catalogue".into(), &"v2".into(), instances, now);
+        assert_eq!(
+            verdict, expected,
+            "{instances} instances, {later_ms} ms later"
+        );
+    };
+    check(1, 100, Verdict::Good);
+    check(2, 100, Verdict::Good);
+    check(3, 100, Verdict::Open);
+    check(1, 3000, Verdict::Open);
+}
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -8,6 +8,7 @@
 use base::FastMap;
 use base::Offset;
 use base::ServiceName;
+use base::VersionName;
 use base::units::unix_millis;
 use mesh::moves::MoveOrder;
 use mesh::moves::MoveRecord;
@@ -137,7 +138,11 @@
                 .merge(&self.name(), evidence, Instant::now());
         }
         let order = &record.order;
-        let verdict = self.docket.borrow().verdict(&order.service, &order.target);
+        let now = Instant::now();
+        let instances = self.instances_of(&order.service, &order.target);
+        let docket = self.docket.borrow();
+        let verdict = docket.verdict(&order.service, &order.target, instances, now);
+        drop(docket);
         let elapsed = self.elapsed(record);
         let decided = next(record, elapsed, verdict);
         if decided.stage != record.stage {
@@ -160,6 +165,18 @@
         decided
     }
 
+    /// Instances of a version that take requests.
+    fn instances_of(&self, service: &ServiceName, version: &VersionName) -> usize {
+        let directory = self.directory.borrow();
+        let infos = directory
+            .entries()
+            .filter(|entry| entry.member.is_open)
+            .filter_map(|entry| entry.member.instance.as_ref());
+        infos
+            .filter(|info| info.service == *service && info.version == *version)
+            .count()
+    }
+
     /// Answers, failures, mean and times by route, of the target and of the other versions.
     fn describe_evidence(&self, order: &MoveOrder) -> Value {
         let describe = |count: &RouteCount| {
