--- a/xtask/src/tests/docs.rs
+++ b/xtask/src/tests/docs.rs
@@ -118,7 +118,7 @@
 
 #[test]
 fn the_operators_page_names_each_settings_key() {
-    let page = fs::read_to_string(root().join("docs/OPERATING.md")).unwrap();
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
     let named: BTreeSet<&str> = quoted(&page).collect();
     let settings = Settings::load(root().join("examples/tanoa.yaml")).unwrap();
     let settings = serde_yaml_ng::to_value(settings).unwrap();
