--- /dev/null
+++ b/crates/mesh/src/docket.rs
@@ -0,0 +1,463 @@
+//! Evidence on the versions of a service, and the verdict on the target of a move.
+//!
+//! Evidence is what the gates counted, by route. The target is judged against the other versions in the
+//! same time: by the better half of its instances, by all that they answered, and by their latest
+//! answers. Where the other versions are in trouble as well, nothing can be told.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::FastMap;
+use base::ServiceName;
+use base::UnixMillis;
+use base::VersionName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::RouteName;
+use crate::health::Health;
+
+/// Answers of one route at one instance since the instance's start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteCount {
+    /// Answers.
+    pub answers: u32,
+    /// Answers that were failures.
+    pub failures: u32,
+    /// Requests that ended without a whole answer, which are no answers.
+    pub missing: u32,
+    /// Sum of the times of the answers, in milliseconds.
+    pub total_ms: u64,
+    /// Answers by their time, against the bounds in [`TIME_BOUNDS`].
+    pub times: [u32; TIME_BOUNDS.len() + 1],
+}
+
+/// Bounds of the counts of answers by their time, in milliseconds.
+pub const TIME_BOUNDS: [u64; 5] = [64, 128, 256, 512, 1024];
+
+impl RouteCount {
+    /// Counts an answer.
+    pub fn count(&mut self, took: Duration, is_failure: bool) {
+        let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        self.answers += 1;
+        self.failures += u32::from(is_failure);
+        self.total_ms += ms;
+        self.times[TIME_BOUNDS.partition_point(|bound| *bound <= ms)] += 1;
+    }
+
+    /// What was counted since an earlier count.
+    fn since(&self, before: Option<&Self>) -> Self {
+        let Some(before) = before else {
+            return self.clone();
+        };
+        let mut times = self.times;
+        for (count, before) in times.iter_mut().zip(before.times) {
+            *count = count.saturating_sub(before);
+        }
+        Self {
+            answers: self.answers.saturating_sub(before.answers),
+            failures: self.failures.saturating_sub(before.failures),
+            missing: self.missing.saturating_sub(before.missing),
+            total_ms: self.total_ms.saturating_sub(before.total_ms),
+            times,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.failures += other.failures;
+        self.missing += other.missing;
+        self.total_ms += other.total_ms;
+        for (sum, count) in self.times.iter_mut().zip(other.times) {
+            *sum += count;
+        }
+    }
+
+    /// Share of the answers that took longer than the first bound above a time.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn share_above(&self, ms: f64) -> f64 {
+        let slow_ms = ms as u64;
+        let first = TIME_BOUNDS.partition_point(|bound| *bound < slow_ms);
+        let above: u32 = self.times.iter().skip(first + 1).sum();
+        f64::from(above) / f64::from(self.answers.max(1))
+    }
+}
+
+/// What one instance did since its start. Counts only grow, so merging takes the larger ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Service of the instance.
+    pub service: ServiceName,
+    /// Its version.
+    pub version: VersionName,
+    /// Start of its incarnation.
+    pub born: UnixMillis,
+    /// Counts by route.
+    pub routes: Vec<(RouteName, RouteCount)>,
+}
+
+/// Time after which an instance whose evidence no longer comes is not heard; some rounds of gossip.
+const EVIDENCE_LIFE: Duration = Duration::from_secs(2);
+
+/// Answers of the target without which no step beyond the first is taken.
+const MIN_ANSWERS: u32 = 12;
+
+/// Failures on one route before a version can be called bad.
+const MIN_FAILURES: u32 = 6;
+
+/// A version is bad when its share of failures is this many times that of the old one.
+const FAILURE_RATIO: f64 = 5.0;
+
+/// Share of failures that any version may have.
+const FAILURE_FLOOR: f64 = 0.03;
+
+/// Share of failures from which a version is bad, whatever the old one fails.
+const FAILURE_CEILING: f64 = 0.5;
+
+/// Share of failures among the latest answers of the old version from which its service is in trouble
+/// that the target may share; a release or a lost machine costs less.
+const TROUBLED_SHARE: f64 = 0.15;
+
+/// Share of requests without an answer from which a version is bad. Below it they are the instance's
+/// or its connections' trouble, which comes to good versions too, while the old one gets no requests
+/// to compare with.
+const MISSING_LIMIT: f64 = 0.3;
+
+/// Answers on one route before its times are compared.
+const MIN_TIMED: u32 = 20;
+
+/// A version is bad when its answers take this many times those of the old one. While it gets all
+/// requests its instances are fuller than the old ones were, so twice the time tells nothing.
+const SLOW_RATIO: f64 = 3.0;
+
+/// An answer is slow when it takes this many times the mean of the old version.
+const SLOW_ANSWER: f64 = 4.0;
+
+/// Share of slow answers that any version may have.
+const SLOW_FLOOR: f64 = 0.08;
+
+/// A version is bad when its share of slow answers, beyond the floor, is this many times that of
+/// the old one.
+const SLOW_SHARE_RATIO: f64 = 4.0;
+
+/// What the counts say about the target of a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too few answers.
+    Open,
+    /// Nothing speaks against it.
+    Good,
+    /// It fails or is slow.
+    Bad,
+    /// The old version is in trouble as well, so nothing can be told.
+    Unclear,
+}
+
+type InstanceKey = (ServiceName, VersionName, UnixMillis, base::DaemonId);
+
+/// Evidence of all instances of a service, by the daemon that counted.
+#[derive(Debug, Default)]
+pub struct Docket {
+    by_instance: FastMap<InstanceKey, Evidence>,
+    /// When the evidence of an instance arrived last.
+    heard: FastMap<InstanceKey, Instant>,
+    /// What was counted before the evidence was forgotten.
+    forgotten: FastMap<InstanceKey, Evidence>,
+    /// The latest answers of each instance by route.
+    recent: FastMap<(InstanceKey, RouteName), Health>,
+}
+
+impl Evidence {
+    fn route(&self, name: &RouteName) -> Option<&RouteCount> {
+        let counts = self.routes.iter();
+        counts
+            .filter(|(route, _)| route == name)
+            .map(|(_, count)| count)
+            .next()
+    }
+
+    fn answers(&self) -> u32 {
+        let counts = self.routes.iter().map(|(_, count)| count);
+        counts.map(|count| count.answers + count.missing).sum()
+    }
+}
+
+impl Docket {
+    /// Takes in the counts of one instance.
+    pub fn merge(&mut self, daemon: &base::DaemonId, evidence: Evidence, now: Instant) {
+        let key = (
+            evidence.service.clone(),
+            evidence.version.clone(),
+            evidence.born,
+            daemon.clone(),
+        );
+        self.heard.insert(key.clone(), now);
+        if let Some(known) = self.by_instance.get(&key) {
+            if known.answers() >= evidence.answers() {
+                return;
+            }
+            for (route, count) in &evidence.routes {
+                let fresh = count.since(known.route(route));
+                let recent = self.recent.entry((key.clone(), route.clone())).or_default();
+                let good = fresh.answers.saturating_sub(fresh.failures);
+                recent.count_all(good, fresh.failures, now);
+            }
+        }
+        self.by_instance.insert(key, evidence);
+    }
+
+    /// Judges the target of a move, which has so many instances, against the other versions of its
+    /// service. Nothing speaks for it while less than half of its instances are heard: a daemon that
+    /// is cut off from the others must not take its share on.
+    #[must_use]
+    pub fn verdict(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+        instances: usize,
+        now: Instant,
+    ) -> Verdict {
+        let new = self.by_instance(service, target);
+        let old = self.counts(service, |version| version != target);
+        let verdicts: Vec<Verdict> = new
+            .iter()
+            .map(|(route, counts)| {
+                let recent = RecentPair {
+                    new: Recent::better_half(self.recent(service, route, |v| v == target)),
+                    old: Recent::sum(&self.recent(service, route, |v| v != target)),
+                };
+                judge(&better_half(counts), old.get(route), recent)
+            })
+            .collect();
+        for verdict in [Verdict::Bad, Verdict::Unclear] {
+            if verdicts.contains(&verdict) {
+                return verdict;
+            }
+        }
+        let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < EVIDENCE_LIFE;
+        let heard = self.heard.iter();
+        let heard = heard.filter(|(key, at)| key.0 == *service && key.1 == *target && is_fresh(at));
+        if answers < MIN_ANSWERS || heard.count() * 2 < instances {
+            return Verdict::Open;
+        }
+        Verdict::Good
+    }
+
+    /// The latest answers on one route of each instance of some versions, as they were when one of them
+    /// answered last: an instance that left fades, and a version that gets no requests stays as it was.
+    fn recent(
+        &self,
+        service: &ServiceName,
+        route: &RouteName,
+        keep: impl Fn(&VersionName) -> bool,
+    ) -> Vec<Recent> {
+        let kept: Vec<&Health> = self
+            .recent
+            .iter()
+            .filter(|((key, on), _)| key.0 == *service && keep(&key.1) && on == route)
+            .map(|(_, health)| health)
+            .collect();
+        let latest = kept.iter().filter_map(|health| health.counted()).max();
+        let Some(latest) = latest else {
+            return Vec::new();
+        };
+        kept.iter()
+            .map(|health| Recent::of(health, latest))
+            .collect()
+    }
+
+    /// Counts of each instance of the target, by route.
+    fn by_instance(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+    ) -> FastMap<RouteName, Vec<RouteCount>> {
+        let mut counts: FastMap<RouteName, Vec<RouteCount>> = FastMap::default();
+        for (route, count) in self.fresh(service, |version| version == target) {
+            counts.entry(route.clone()).or_default().push(count);
+        }
+        counts
+    }
+
+    /// What the instances of some versions counted since the evidence was forgotten.
+    fn fresh(
+        &self,
+        service: &ServiceName,
+        keep: impl Fn(&VersionName) -> bool,
+    ) -> impl Iterator<Item = (&RouteName, RouteCount)> {
+        self.by_instance
+            .iter()
+            .filter(move |(_, evidence)| evidence.service == *service && keep(&evidence.version))
+            .flat_map(|(key, evidence)| {
+                let forgotten = self.forgotten.get(key);
+                evidence.routes.iter().map(move |(route, count)| {
+                    let before = forgotten.and_then(|evidence| evidence.route(route));
+                    (route, count.since(before))
+                })
+            })
+    }
+
+    /// Forgets what was counted for a service until now, since it tells nothing of its versions.
+    pub fn forget(&mut self, service: &ServiceName) {
+        let known = self.by_instance.iter();
+        for (key, evidence) in known.filter(|(_, evidence)| evidence.service == *service) {
+            self.forgotten.insert(key.clone(), evidence.clone());
+        }
+    }
+
+    /// Counts of the target and of the other versions by route, for the log.
+    #[must_use]
+    pub fn compare(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+    ) -> Vec<(RouteName, RouteCount, RouteCount)> {
+        let mut old = self.counts(service, |version| version != target);
+        let new = self.counts(service, |version| version == target);
+        new.into_iter()
+            .map(|(route, count)| {
+                let other = old.remove(&route).unwrap_or_default();
+                (route, count, other)
+            })
+            .collect()
+    }
+
+    fn counts(
+        &self,
+        service: &ServiceName,
+        keep: impl Fn(&VersionName) -> bool,
+    ) -> FastMap<RouteName, RouteCount> {
+        let mut sums: FastMap<RouteName, RouteCount> = FastMap::default();
+        for (route, count) in self.fresh(service, keep) {
+            sums.entry(route.clone()).or_default().add(&count);
+        }
+        sums
+    }
+}
+
+/// Sum of the better half of a version's instances, since a few that fail or are slow are the trouble
+/// of their machines and not of the version; of all where the better half answered too little.
+fn better_half(counts: &[RouteCount]) -> RouteCount {
+    let mut sorted: Vec<&RouteCount> = counts.iter().collect();
+    sorted.sort_by(|a, b| badness(a).total_cmp(&badness(b)));
+    let sum = |counts: &[&RouteCount]| {
+        let mut sum = RouteCount::default();
+        for count in counts {
+            sum.add(count);
+        }
+        sum
+    };
+    let half = sum(&sorted[..sorted.len().div_ceil(2)]);
+    if half.answers >= MIN_ANSWERS {
+        half
+    } else {
+        sum(&sorted)
+    }
+}
+
+/// Order of instances: first by the share of requests that failed, then by their time.
+fn badness(count: &RouteCount) -> f64 {
+    let failed = f64::from(count.failures + count.missing);
+    let share = failed / f64::from((count.answers + count.missing).max(1));
+    share + mean_ms(count) / SLOWEST_MS
+}
+
+/// A mean time, in milliseconds, that weighs as much as a failure of each request; clients wait for
+/// less.
+const SLOWEST_MS: f64 = 10_000.0;
+
+/// Weights of the latest answers of one route, fading.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    good: f64,
+    failed: f64,
+}
+
+/// The latest answers of the target and of the other versions.
+#[derive(Debug, Clone, Copy, Default)]
+struct RecentPair {
+    new: Recent,
+    old: Recent,
+}
+
+impl Recent {
+    fn of(health: &Health, then: Instant) -> Self {
+        let (good, failed) = health.weights(then);
+        Self { good, failed }
+    }
+
+    fn all(self) -> f64 {
+        self.good + self.failed
+    }
+
+    fn share(self) -> f64 {
+        self.failed / self.all().max(1.0)
+    }
+
+    fn sum(parts: &[Self]) -> Self {
+        parts.iter().fold(Self::default(), |sum, part| Self {
+            good: sum.good + part.good,
+            failed: sum.failed + part.failed,
+        })
+    }
+
+    /// As [`better_half`], of the latest answers.
+    fn better_half(mut parts: Vec<Self>) -> Self {
+        parts.sort_by(|a, b| a.share().total_cmp(&b.share()));
+        let half = Self::sum(&parts[..parts.len().div_ceil(2)]);
+        if half.all() >= f64::from(MIN_ANSWERS) {
+            half
+        } else {
+            Self::sum(&parts)
+        }
+    }
+}
+
+/// Judges the answers of one route.
+fn judge(new: &RouteCount, old: Option<&RouteCount>, recent: RecentPair) -> Verdict {
+    let missing = f64::from(new.missing) / f64::from((new.answers + new.missing).max(1));
+    if new.missing >= MIN_FAILURES && missing > MISSING_LIMIT {
+        return Verdict::Bad;
+    }
+    let old_failures = old.map_or(0.0, failure_share);
+    let allowed = (old_failures * FAILURE_RATIO).clamp(FAILURE_FLOOR, FAILURE_CEILING);
+    let fails_since_start = new.failures >= MIN_FAILURES && failure_share(new) > allowed;
+    // A version that is bad under load only shows in its latest answers first.
+    let fails_now = recent.new.failed >= f64::from(MIN_FAILURES) && recent.new.share() > allowed;
+    let share = if fails_now {
+        recent.new.share()
+    } else {
+        failure_share(new)
+    };
+    let is_troubled =
+        recent.old.all() >= f64::from(MIN_ANSWERS) && recent.old.share() > TROUBLED_SHARE;
+    let is_shared = is_troubled && share <= f64::midpoint(recent.old.share(), 1.0);
+    if (fails_since_start || fails_now) && !is_shared {
+        return Verdict::Bad;
+    }
+    if is_troubled {
+        return Verdict::Unclear;
+    }
+    let Some(old) = old.filter(|old| old.answers >= MIN_TIMED) else {
+        return Verdict::Good;
+    };
+    if new.answers < MIN_TIMED {
+        return Verdict::Good;
+    }
+    let slow = SLOW_ANSWER * mean_ms(old);
+    let allowed = SLOW_FLOOR + SLOW_SHARE_RATIO * old.share_above(slow);
+    if mean_ms(new) > SLOW_RATIO * mean_ms(old) || new.share_above(slow) > allowed {
+        return Verdict::Bad;
+    }
+    Verdict::Good
+}
+
+fn failure_share(count: &RouteCount) -> f64 {
+    f64::from(count.failures) / f64::from(count.answers.max(1))
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn mean_ms(count: &RouteCount) -> f64 {
+    count.total_ms as f64 / f64::from(count.answers.max(1))
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod directory;
+pub mod docket;
 pub mod gate;
 pub mod health;
 pub mod instance;
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::moves::Docket;
-use crate::moves::Evidence;
+use crate::docket::Docket;
+use crate::docket::Evidence;
+use crate::docket::RouteCount;
+use crate::docket::Verdict;
 use crate::moves::MoveOrder;
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
-use crate::moves::RouteCount;
 use crate::moves::Settling;
 use crate::moves::Stage;
-use crate::moves::Verdict;
 use crate::moves::Versions;
 use crate::moves::next;
 use crate::moves::settle;
