Docket: one record for each instance, one better half for all counts

Four maps under the same key become one record an instance; the better half of counts and of latest answers is one function over a small trait. The rank by which records of a move replace each other is asked in one place. Ended moves are no longer judged each tenth of a second, and an order's first sight is noted once.

--- a/crates/mesh/src/docket.rs
+++ b/crates/mesh/src/docket.rs
@@ -4,6 +4,7 @@
 //! same time: by the better half of its instances, by all that they answered, and by their latest
 //! answers. Where the other versions are in trouble as well, nothing can be told.
 
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -63,16 +64,6 @@
         }
     }
 
-    fn add(&mut self, other: &Self) {
-        self.answers += other.answers;
-        self.failures += other.failures;
-        self.missing += other.missing;
-        self.total_ms += other.total_ms;
-        for (sum, count) in self.times.iter_mut().zip(other.times) {
-            *sum += count;
-        }
-    }
-
     /// Share of the answers that took longer than the first bound above a time.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn share_above(&self, ms: f64) -> f64 {
@@ -155,25 +146,30 @@
 
 type InstanceKey = (ServiceName, VersionName, UnixMillis, base::DaemonId);
 
-/// Evidence of all instances of a service, by the daemon that counted.
+/// Evidence of all instances, by the daemon that counted.
 #[derive(Debug, Default)]
 pub struct Docket {
-    by_instance: FastMap<InstanceKey, Evidence>,
-    /// When the evidence of an instance arrived last.
-    heard: FastMap<InstanceKey, Instant>,
+    instances: FastMap<InstanceKey, Witness>,
+}
+
+/// What one instance told so far.
+#[derive(Debug)]
+struct Witness {
+    latest: Evidence,
+    /// When its evidence arrived last.
+    heard: Instant,
     /// What was counted before the evidence was forgotten.
-    forgotten: FastMap<InstanceKey, Evidence>,
-    /// The latest answers of each instance by route.
-    recent: FastMap<(InstanceKey, RouteName), Health>,
+    forgotten: Option<Evidence>,
+    /// Its latest answers by route, since it was heard first.
+    recent: FastMap<RouteName, Health>,
 }
 
 impl Evidence {
     fn route(&self, name: &RouteName) -> Option<&RouteCount> {
-        let counts = self.routes.iter();
+        let mut counts = self.routes.iter();
         counts
-            .filter(|(route, _)| route == name)
+            .find(|(route, _)| route == name)
             .map(|(_, count)| count)
-            .next()
     }
 
     fn answers(&self) -> u32 {
@@ -182,6 +178,40 @@
     }
 }
 
+impl Witness {
+    fn new(evidence: Evidence, now: Instant) -> Self {
+        Self {
+            latest: evidence,
+            heard: now,
+            forgotten: None,
+            recent: FastMap::default(),
+        }
+    }
+
+    fn tell(&mut self, evidence: Evidence, now: Instant) {
+        self.heard = now;
+        if self.latest.answers() >= evidence.answers() {
+            return;
+        }
+        for (route, count) in &evidence.routes {
+            let fresh = count.since(self.latest.route(route));
+            let good = fresh.answers.saturating_sub(fresh.failures);
+            let recent = self.recent.entry(route.clone()).or_default();
+            recent.count_all(good, fresh.failures, now);
+        }
+        self.latest = evidence;
+    }
+
+    /// What it counted by route since the evidence was forgotten.
+    fn fresh(&self) -> impl Iterator<Item = (&RouteName, RouteCount)> {
+        self.latest.routes.iter().map(|(route, count)| {
+            let before = self.forgotten.as_ref();
+            let before = before.and_then(|evidence| evidence.route(route));
+            (route, count.since(before))
+        })
+    }
+}
+
 impl Docket {
     /// Takes in the counts of one instance.
     pub fn merge(&mut self, daemon: &base::DaemonId, evidence: Evidence, now: Instant) {
@@ -191,19 +221,12 @@
             evidence.born,
             daemon.clone(),
         );
-        self.heard.insert(key.clone(), now);
-        if let Some(known) = self.by_instance.get(&key) {
-            if known.answers() >= evidence.answers() {
-                return;
-            }
-            for (route, count) in &evidence.routes {
-                let fresh = count.since(known.route(route));
-                let recent = self.recent.entry((key.clone(), route.clone())).or_default();
-                let good = fresh.answers.saturating_sub(fresh.failures);
-                recent.count_all(good, fresh.failures, now);
+        match self.instances.entry(key) {
+            Entry::Occupied(known) => known.into_mut().tell(evidence, now),
+            Entry::Vacant(place) => {
+                place.insert(Witness::new(evidence, now));
             }
         }
-        self.by_instance.insert(key, evidence);
     }
 
     /// Judges the target of a move, which has so many instances, against the other versions of its
@@ -217,16 +240,20 @@
         instances: usize,
         now: Instant,
     ) -> Verdict {
-        let new = self.by_instance(service, target);
+        let mut new: FastMap<RouteName, Vec<RouteCount>> = FastMap::default();
+        let counts = self.witnesses(service, |version| version == target);
+        for (route, count) in counts.flat_map(Witness::fresh) {
+            new.entry(route.clone()).or_default().push(count);
+        }
         let old = self.counts(service, |version| version != target);
         let verdicts: Vec<Verdict> = new
             .iter()
             .map(|(route, counts)| {
                 let recent = RecentPair {
-                    new: Recent::better_half(self.recent(service, route, |v| v == target)),
-                    old: Recent::sum(&self.recent(service, route, |v| v != target)),
+                    new: better_half(self.recent(service, route, |v| v == target)),
+                    old: total(self.recent(service, route, |v| v != target).iter()),
                 };
-                judge(&better_half(counts), old.get(route), recent)
+                judge(&better_half(counts.clone()), old.get(route), recent)
             })
             .collect();
         for verdict in [Verdict::Bad, Verdict::Unclear] {
@@ -235,15 +262,35 @@
             }
         }
         let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
-        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < EVIDENCE_LIFE;
-        let heard = self.heard.iter();
-        let heard = heard.filter(|(key, at)| key.0 == *service && key.1 == *target && is_fresh(at));
+        let heard = self
+            .witnesses(service, |version| version == target)
+            .filter(|witness| now.saturating_duration_since(witness.heard) < EVIDENCE_LIFE);
         if answers < MIN_ANSWERS || heard.count() * 2 < instances {
             return Verdict::Open;
         }
         Verdict::Good
     }
 
+    /// Forgets what was counted for a service until now, since it tells nothing of its versions.
+    pub fn forget(&mut self, service: &ServiceName) {
+        let witnesses = self.instances.iter_mut();
+        for (_, witness) in witnesses.filter(|((of, ..), _)| of == service) {
+            witness.forgotten = Some(witness.latest.clone());
+        }
+    }
+
+    /// Instances of some versions of a service.
+    fn witnesses(
+        &self,
+        service: &ServiceName,
+        keep: impl Fn(&VersionName) -> bool,
+    ) -> impl Iterator<Item = &Witness> {
+        self.instances
+            .iter()
+            .filter(move |((of, version, ..), _)| of == service && keep(version))
+            .map(|(_, witness)| witness)
+    }
+
     /// The latest answers on one route of each instance of some versions, as they were when one of them
     /// answered last: an instance that left fades, and a version that gets no requests stays as it was.
     fn recent(
@@ -253,10 +300,8 @@
         keep: impl Fn(&VersionName) -> bool,
     ) -> Vec<Recent> {
         let kept: Vec<&Health> = self
-            .recent
-            .iter()
-            .filter(|((key, on), _)| key.0 == *service && keep(&key.1) && on == route)
-            .map(|(_, health)| health)
+            .witnesses(service, keep)
+            .filter_map(|witness| witness.recent.get(route))
             .collect();
         let latest = kept.iter().filter_map(|health| health.counted()).max();
         let Some(latest) = latest else {
@@ -267,45 +312,6 @@
             .collect()
     }
 
-    /// Counts of each instance of the target, by route.
-    fn by_instance(
-        &self,
-        service: &ServiceName,
-        target: &VersionName,
-    ) -> FastMap<RouteName, Vec<RouteCount>> {
-        let mut counts: FastMap<RouteName, Vec<RouteCount>> = FastMap::default();
-        for (route, count) in self.fresh(service, |version| version == target) {
-            counts.entry(route.clone()).or_default().push(count);
-        }
-        counts
-    }
-
-    /// What the instances of some versions counted since the evidence was forgotten.
-    fn fresh(
-        &self,
-        service: &ServiceName,
-        keep: impl Fn(&VersionName) -> bool,
-    ) -> impl Iterator<Item = (&RouteName, RouteCount)> {
-        self.by_instance
-            .iter()
-            .filter(move |(_, evidence)| evidence.service == *service && keep(&evidence.version))
-            .flat_map(|(key, evidence)| {
-                let forgotten = self.forgotten.get(key);
-                evidence.routes.iter().map(move |(route, count)| {
-                    let before = forgotten.and_then(|evidence| evidence.route(route));
-                    (route, count.since(before))
-                })
-            })
-    }
-
-    /// Forgets what was counted for a service until now, since it tells nothing of its versions.
-    pub fn forget(&mut self, service: &ServiceName) {
-        let known = self.by_instance.iter();
-        for (key, evidence) in known.filter(|(_, evidence)| evidence.service == *service) {
-            self.forgotten.insert(key.clone(), evidence.clone());
-        }
-    }
-
     /// Counts of the target and of the other versions by route, for the log.
     #[must_use]
     pub fn compare(
@@ -329,44 +335,71 @@
         keep: impl Fn(&VersionName) -> bool,
     ) -> FastMap<RouteName, RouteCount> {
         let mut sums: FastMap<RouteName, RouteCount> = FastMap::default();
-        for (route, count) in self.fresh(service, keep) {
+        for (route, count) in self.witnesses(service, keep).flat_map(Witness::fresh) {
             sums.entry(route.clone()).or_default().add(&count);
         }
         sums
     }
 }
 
+/// Answers of one instance, or of several together.
+trait Sample: Default {
+    /// Number of the answers.
+    fn answers(&self) -> f64;
+
+    /// Order of instances, the best first.
+    fn badness(&self) -> f64;
+
+    /// Adds those of another instance.
+    fn add(&mut self, other: &Self);
+}
+
 /// Sum of the better half of a version's instances, since a few that fail or are slow are the trouble
 /// of their machines and not of the version; of all where the better half answered too little.
-fn better_half(counts: &[RouteCount]) -> RouteCount {
-    let mut sorted: Vec<&RouteCount> = counts.iter().collect();
-    sorted.sort_by(|a, b| badness(a).total_cmp(&badness(b)));
-    let sum = |counts: &[&RouteCount]| {
-        let mut sum = RouteCount::default();
-        for count in counts {
-            sum.add(count);
-        }
-        sum
-    };
-    let half = sum(&sorted[..sorted.len().div_ceil(2)]);
-    if half.answers >= MIN_ANSWERS {
+fn better_half<S: Sample>(mut samples: Vec<S>) -> S {
+    samples.sort_by(|a, b| a.badness().total_cmp(&b.badness()));
+    let half = total(samples[..samples.len().div_ceil(2)].iter());
+    if half.answers() >= f64::from(MIN_ANSWERS) {
         half
     } else {
-        sum(&sorted)
+        total(samples.iter())
     }
 }
 
-/// Order of instances: first by the share of requests that failed, then by their time.
-fn badness(count: &RouteCount) -> f64 {
-    let failed = f64::from(count.failures + count.missing);
-    let share = failed / f64::from((count.answers + count.missing).max(1));
-    share + mean_ms(count) / SLOWEST_MS
+fn total<'a, S: Sample + 'a>(samples: impl Iterator<Item = &'a S>) -> S {
+    samples.fold(S::default(), |mut sum, sample| {
+        sum.add(sample);
+        sum
+    })
 }
 
 /// A mean time, in milliseconds, that weighs as much as a failure of each request; clients wait for
 /// less.
 const SLOWEST_MS: f64 = 10_000.0;
 
+impl Sample for RouteCount {
+    fn answers(&self) -> f64 {
+        f64::from(self.answers)
+    }
+
+    /// First by the share of requests that failed, then by their time.
+    fn badness(&self) -> f64 {
+        let failed = f64::from(self.failures + self.missing);
+        let share = failed / f64::from((self.answers + self.missing).max(1));
+        share + mean_ms(self) / SLOWEST_MS
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.failures += other.failures;
+        self.missing += other.missing;
+        self.total_ms += other.total_ms;
+        for (sum, count) in self.times.iter_mut().zip(other.times) {
+            *sum += count;
+        }
+    }
+}
+
 /// Weights of the latest answers of one route, fading.
 #[derive(Debug, Clone, Copy, Default)]
 struct Recent {
@@ -387,30 +420,23 @@
         Self { good, failed }
     }
 
-    fn all(self) -> f64 {
-        self.good + self.failed
+    fn share(self) -> f64 {
+        self.failed / self.answers().max(1.0)
     }
+}
 
-    fn share(self) -> f64 {
-        self.failed / self.all().max(1.0)
+impl Sample for Recent {
+    fn answers(&self) -> f64 {
+        self.good + self.failed
     }
 
-    fn sum(parts: &[Self]) -> Self {
-        parts.iter().fold(Self::default(), |sum, part| Self {
-            good: sum.good + part.good,
-            failed: sum.failed + part.failed,
-        })
+    fn badness(&self) -> f64 {
+        self.share()
     }
 
-    /// As [`better_half`], of the latest answers.
-    fn better_half(mut parts: Vec<Self>) -> Self {
-        parts.sort_by(|a, b| a.share().total_cmp(&b.share()));
-        let half = Self::sum(&parts[..parts.len().div_ceil(2)]);
-        if half.all() >= f64::from(MIN_ANSWERS) {
-            half
-        } else {
-            Self::sum(&parts)
-        }
+    fn add(&mut self, other: &Self) {
+        self.good += other.good;
+        self.failed += other.failed;
     }
 }
 
@@ -431,7 +457,7 @@
         failure_share(new)
     };
     let is_troubled =
-        recent.old.all() >= f64::from(MIN_ANSWERS) && recent.old.share() > TROUBLED_SHARE;
+        recent.old.answers() >= f64::from(MIN_ANSWERS) && recent.old.share() > TROUBLED_SHARE;
     let is_shared = is_troubled && share <= f64::midpoint(recent.old.share(), 1.0);
     if (fails_since_start || fails_now) && !is_shared {
         return Verdict::Bad;
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -46,9 +46,10 @@
 }
 
 impl MoveRecord {
-    /// Order in which words about one move replace each other: an end that the store holds, then any
-    /// end, then the latest share.
-    fn order(&self) -> (Offset, bool, bool, u32, Stage) {
+    /// Rank by which records of one service's moves replace each other: a later order, then an end that
+    /// the store holds, then any end, then the latest share.
+    #[must_use]
+    pub fn rank(&self) -> MoveRank {
         (
             self.order.offset,
             self.is_settled,
@@ -65,6 +66,9 @@
     }
 }
 
+/// Rank of a record; the highest of a service stands.
+pub type MoveRank = (Offset, bool, bool, u32, Stage);
+
 /// What a controller does with a decision when it has read what the store holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Settling {
@@ -79,7 +83,7 @@
 #[must_use]
 pub fn settle(decided: &MoveRecord, stored: Option<&MoveRecord>) -> Settling {
     if let Some(stored) = stored
-        && stored.order() >= decided.order()
+        && stored.rank() >= decided.rank()
     {
         return Settling::Adopt(stored.clone());
     }
@@ -156,7 +160,7 @@
     /// Says whether it was news.
     pub fn merge(&mut self, record: MoveRecord) -> bool {
         if let Some(known) = self.records.get(&record.order.service)
-            && known.order() >= record.order()
+            && known.rank() >= record.rank()
         {
             return false;
         }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http_edge::Request;
 use mesh::directory::Merge;
-use mesh::moves::MoveOrder;
 use mesh::wire::Member;
 use mesh::wire::Record;
 use platform::Backoff;
@@ -224,7 +223,7 @@
             return;
         }
         match operator::decode(key, value, offset) {
-            Ok(Word::Order(order)) => self.take_order(order),
+            Ok(Word::Order(order)) => self.begin_move(order),
             Ok(Word::Config(_) | Word::Other) => {}
             Err(reason) => {
                 self.believe(
@@ -251,13 +250,4 @@
             }
         }
     }
-
-    fn take_order(&self, order: MoveOrder) {
-        let now = Instant::now();
-        self.orders_seen
-            .borrow_mut()
-            .entry(order.offset)
-            .or_insert(now);
-        self.begin_move(order);
-    }
 }
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -82,8 +82,7 @@
             continue;
         }
         let news = node.member_news.take();
-        let stages = node.stages();
-        let state = (node.tables.borrow().version(), stages);
+        let state = (node.tables.borrow().version(), node.ranks());
         if told == state && news.is_empty() && told_at.elapsed() < ROUND {
             continue;
         }
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -6,13 +6,13 @@
 use std::time::SystemTime;
 
 use base::FastMap;
-use base::Offset;
 use base::ServiceName;
 use base::VersionName;
 use base::units::unix_millis;
 use mesh::docket::RouteCount;
 use mesh::docket::Verdict;
 use mesh::moves::MoveOrder;
+use mesh::moves::MoveRank;
 use mesh::moves::MoveRecord;
 use mesh::moves::Settling;
 use mesh::moves::Stage;
@@ -38,22 +38,26 @@
 
 /// Decides on moves for as long as the daemon runs.
 pub async fn control(node: Shared) {
-    // Order and stage of the record that this daemon made known last, by service.
-    let mut committed: FastMap<ServiceName, (Offset, u32, Stage)> = FastMap::default();
+    // Rank of the record that this daemon made known last, by service.
+    let mut committed: FastMap<ServiceName, MoveRank> = FastMap::default();
     loop {
         monoio::time::sleep(LOOK_EVERY).await;
         let records: Vec<MoveRecord> = node.moves.borrow().records().cloned().collect();
         if records.is_empty() || !node.is_controller() {
             continue;
         }
+        node.count_own_evidence();
         for record in records {
-            let decided = node.decide(&record);
-            let order = |record: &MoveRecord| (record.order.offset, record.setbacks, record.stage);
-            if committed.get(&decided.order.service) == Some(&order(&decided)) {
+            let decided = if record.is_open() {
+                node.decide(&record)
+            } else {
+                record
+            };
+            if committed.get(&decided.order.service) == Some(&decided.rank()) {
                 continue;
             }
             if let Some(stored) = node.commit(decided).await {
-                committed.insert(stored.order.service.clone(), order(&stored));
+                committed.insert(stored.order.service.clone(), stored.rank());
             }
         }
     }
@@ -95,22 +99,12 @@
         self.moves.borrow().records().any(MoveRecord::is_open)
     }
 
-    /// How far the moves are.
-    pub fn stages(&self) -> Vec<(Offset, bool, u32, Stage)> {
+    /// How far the moves are, in no order that means something.
+    pub fn ranks(&self) -> Vec<MoveRank> {
         let moves = self.moves.borrow();
-        let mut stages: Vec<_> = moves
-            .records()
-            .map(|record| {
-                (
-                    record.order.offset,
-                    record.is_settled,
-                    record.setbacks,
-                    record.stage,
-                )
-            })
-            .collect();
-        stages.sort_unstable();
-        stages
+        let mut ranks: Vec<MoveRank> = moves.records().map(MoveRecord::rank).collect();
+        ranks.sort_unstable();
+        ranks
     }
 
     /// Where evidence on a move under way goes.
@@ -131,12 +125,15 @@
         self.is_lead() && leads.first(Instant::now()).is_none()
     }
 
-    fn decide(&self, record: &MoveRecord) -> MoveRecord {
+    /// Takes in what the instance beside this daemon answered.
+    fn count_own_evidence(&self) {
         if let Some(evidence) = self.gate.evidence(self) {
-            self.docket
-                .borrow_mut()
-                .merge(&self.name(), evidence, Instant::now());
+            let mut docket = self.docket.borrow_mut();
+            docket.merge(&self.name(), evidence, Instant::now());
         }
+    }
+
+    fn decide(&self, record: &MoveRecord) -> MoveRecord {
         let order = &record.order;
         let now = Instant::now();
         let instances = self.instances_of(&order.service, &order.target);
