Directory: index by service, hash kept as members change

Each request scanned all daemons and built a list of them, and each datagram hashed all of them; both grew with the fleet. Properties hold the index and the hash against a scan. No behaviour is meant to change.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -8,6 +8,7 @@
 
 use base::DaemonId;
 use base::FastMap;
+use base::ServiceName;
 
 use crate::wire::Member;
 
@@ -43,6 +44,10 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     members: FastMap<DaemonId, Entry>,
+    /// Daemons beside an instance, by its service: a request asks for one service only.
+    by_service: FastMap<ServiceName, Vec<DaemonId>>,
+    /// Hashes of all members, combined in a way that knows no order.
+    digest: u64,
 }
 
 impl Directory {
@@ -55,32 +60,60 @@
             return Merge::Known;
         }
         // A machine's address is used by one daemon at a time; the one that started last has it.
-        let is_rival = |known: &Entry| {
-            known.member.daemon != member.daemon && known.member.address == member.address
-        };
-        let mut known = self.members.values();
-        if known.any(|known| is_rival(known) && known.member.incarnation > member.incarnation) {
+        let rivals: Vec<&Member> = self
+            .members
+            .values()
+            .map(|entry| &entry.member)
+            .filter(|known| known.daemon != member.daemon && known.address == member.address)
+            .collect();
+        if rivals
+            .iter()
+            .any(|rival| rival.incarnation > member.incarnation)
+        {
             return Merge::Known;
         }
-        self.members.retain(|_, known| !is_rival(known));
-        let entry = Entry { member, since: now };
-        self.members.insert(entry.member.daemon.clone(), entry);
+        let replaced: Vec<DaemonId> = rivals.iter().map(|rival| rival.daemon.clone()).collect();
+        for daemon in replaced.iter().chain([&member.daemon]) {
+            self.remove(daemon);
+        }
+        self.insert(Entry { member, since: now });
         Merge::Newer
     }
 
+    fn insert(&mut self, entry: Entry) {
+        let member = &entry.member;
+        self.digest ^= hash(member);
+        if let Some(info) = &member.instance {
+            let daemons = self.by_service.entry(info.service.clone()).or_default();
+            daemons.push(member.daemon.clone());
+        }
+        self.members.insert(member.daemon.clone(), entry);
+    }
+
+    fn remove(&mut self, daemon: &DaemonId) {
+        let Some(Entry { member, .. }) = self.members.remove(daemon) else {
+            return;
+        };
+        self.digest ^= hash(&member);
+        if let Some(info) = &member.instance
+            && let Some(daemons) = self.by_service.get_mut(&info.service)
+        {
+            daemons.retain(|known| known != daemon);
+        }
+    }
+
     /// A hash of the newest words of all members, whatever the order in which they came.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let hash = |member: &Member| {
-            let (incarnation, revision) = (member.incarnation, member.revision);
-            base::hash::stable(&[
-                member.daemon.as_bytes(),
-                &incarnation.to_be_bytes(),
-                &revision.to_be_bytes(),
-            ])
-        };
-        let members = self.members.values().map(|entry| hash(&entry.member));
-        members.fold(0, |digest, hash| digest ^ hash)
+        self.digest
+    }
+
+    /// Members whose instance runs a service and takes requests, in no order.
+    pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let daemons = self.by_service.get(service).into_iter().flatten();
+        daemons
+            .filter_map(|daemon| self.members.get(daemon))
+            .filter(|entry| entry.member.is_open)
     }
 
     /// All members, in no order.
@@ -106,3 +139,11 @@
         self.members.is_empty()
     }
 }
+
+fn hash(member: &Member) -> u64 {
+    base::hash::stable(&[
+        member.daemon.as_bytes(),
+        &member.incarnation.to_be_bytes(),
+        &member.revision.to_be_bytes(),
+    ])
+}
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the cores.
 
+mod directory;
 mod gate;
 mod instance;
 mod leads;
--- /dev/null
+++ b/crates/mesh/src/tests/directory.rs
@@ -0,0 +1,77 @@
+//! The directory's index and hash agree with its members, whatever comes in which order.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::ServiceName;
+use quickcheck::quickcheck;
+
+use crate::directory::Directory;
+use crate::wire::InstanceInfo;
+use crate::wire::Member;
+
+const SERVICES: [&str; 3] = ["bookings", "catalogue", "payments"];
+
+/// A word of one of a few daemons, some of which share an address.
+fn member(seed: u32) -> Member {
+    let part = |by: u32, of: u32| seed / by % of;
+    let has_instance = part(100, 4) > 0;
+    Member {
+        daemon: format!("d{}", part(1, 6)).into(),
+        incarnation: u64::from(part(7, 3)),
+        revision: u64::from(part(13, 4)),
+        address: ([10, 0, 0, 1], u16::try_from(part(1, 4)).unwrap()).into(),
+        zone: "a".into(),
+        instance: has_instance.then(|| InstanceInfo {
+            id: "i".into(),
+            born: 1,
+            service: SERVICES[usize::try_from(part(29, 3)).unwrap()].into(),
+            version: "v1".into(),
+            slots: 4,
+            cold_left: Duration::ZERO,
+        }),
+        is_open: part(211, 5) > 0,
+    }
+}
+
+fn scan(directory: &Directory, service: &ServiceName) -> Vec<DaemonId> {
+    let runs = |member: &&Member| {
+        let info = member.instance.as_ref();
+        member.is_open && info.is_some_and(|info| info.service == *service)
+    };
+    let members = directory.entries().map(|entry| &entry.member);
+    sorted(members.filter(runs).map(|member| member.daemon.clone()))
+}
+
+fn sorted(names: impl Iterator<Item = DaemonId>) -> Vec<DaemonId> {
+    let mut names: Vec<DaemonId> = names.collect();
+    names.sort();
+    names
+}
+
+quickcheck! {
+    fn the_index_names_what_a_scan_finds(seeds: Vec<u32>) -> bool {
+        let mut directory = Directory::default();
+        seeds.into_iter().all(|seed| {
+            directory.merge(member(seed), Instant::now());
+            SERVICES.iter().all(|service| {
+                let service = ServiceName::from(*service);
+                let indexed = directory.serving(&service);
+                sorted(indexed.map(|entry| entry.member.daemon.clone())) == scan(&directory, &service)
+            })
+        })
+    }
+
+    fn the_hash_is_that_of_the_members_alone(seeds: Vec<u32>) -> bool {
+        let mut directory = Directory::default();
+        for seed in seeds {
+            directory.merge(member(seed), Instant::now());
+        }
+        let mut anew = Directory::default();
+        for entry in directory.entries() {
+            anew.merge(entry.member.clone(), Instant::now());
+        }
+        anew.digest() == directory.digest()
+    }
+}
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -166,12 +166,9 @@
     fn instances_of(&self, service: &ServiceName, version: &VersionName) -> usize {
         let directory = self.directory.borrow();
         let infos = directory
-            .entries()
-            .filter(|entry| entry.member.is_open)
+            .serving(service)
             .filter_map(|entry| entry.member.instance.as_ref());
-        infos
-            .filter(|info| info.service == *service && info.version == *version)
-            .count()
+        infos.filter(|info| info.version == *version).count()
     }
 
     /// Answers, failures, mean and times by route, of the target and of the other versions.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -262,10 +262,7 @@
         let now = Instant::now();
         let directory = self.directory.borrow();
         let moves = self.moves.borrow();
-        let serving: Vec<&Entry> = directory
-            .entries()
-            .filter(|entry| entry.member.is_open && runs(entry, service))
-            .collect();
+        let serving: Vec<&Entry> = directory.serving(service).collect();
         let allowed = filter_versions(&serving, moves.versions(service, random));
         let open: Vec<&Entry> = allowed
             .into_iter()
@@ -306,11 +303,6 @@
     })
 }
 
-fn runs(entry: &Entry, service: &ServiceName) -> bool {
-    let instance = entry.member.instance.as_ref();
-    instance.is_some_and(|info| info.service == *service)
-}
-
 fn filter_versions<'a>(serving: &[&'a Entry], versions: Versions<'_>) -> Vec<&'a Entry> {
     match versions {
         Versions::Only(target) => with_version(serving, |version| version == target),
