Gossip: one owner of the socket, each message encoded once, no evidence lost in silence

- Both daemons open a socket and wait for datagrams by the same code (http_edge::Datagrams); a failed receive is told.
- The node owns the socket; tasks no longer get it beside the node.
- A message for many daemons was built and encoded anew for each receiver.
- Evidence on more routes than fit a datagram was dropped without a line, which left a move without a verdict.
It is bounded to the busiest routes where it is made (test: evidence_of_many_routes_keeps_the_busiest); what still does not fit, and what the system does not take, has a line.

--- a/crates/daemon/src/members/gossip.rs
+++ b/crates/daemon/src/members/gossip.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use http::StatusCode;
+use http_edge::Datagrams;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
@@ -19,7 +20,6 @@
 use membership::SwimConfig;
 use membership::UpstreamInfo;
 use membership::message::MAX_DATAGRAM;
-use monoio::net::udp::UdpSocket;
 use protocol::codec;
 use protocol::paths;
 
@@ -45,16 +45,11 @@
 const PERIODS_TO_JOIN: u32 = 10;
 
 /// Datagrams wait here for the gossip task; while it is full, the system drops them.
-pub(super) async fn receive(socket: Rc<UdpSocket>, tx: bounded::Tx<Event>, traffic: Rc<Traffic>) {
+pub(super) async fn receive(socket: Rc<Datagrams>, tx: bounded::Tx<Event>, traffic: Rc<Traffic>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
-        let (received, returned) = socket.recv_from(buf).await;
+        let (returned, len, from) = socket.receive(buf).await;
         buf = returned;
-        let Ok((len, from)) = received else {
-            // A port that is closed at the other end shows up here as well.
-            monoio::time::sleep(Duration::from_millis(1)).await;
-            continue;
-        };
         traffic.received(len);
         let Ok(message) = codec::decode::<Message>(&buf[..len]) else {
             log::debug!("members: unreadable datagram from {from}");
@@ -70,7 +65,7 @@
 pub(super) struct Gossip {
     board: Board,
     swim: Swim,
-    socket: Rc<UdpSocket>,
+    socket: Rc<Datagrams>,
     tx: bounded::Tx<Event>,
     pool: Rc<Pool>,
     traffic: Rc<Traffic>,
@@ -94,7 +89,7 @@
 impl Gossip {
     pub(super) fn new(
         board: &Board,
-        socket: Rc<UdpSocket>,
+        socket: Rc<Datagrams>,
         tx: bounded::Tx<Event>,
         members: &Members,
     ) -> Self {
@@ -236,7 +231,7 @@
     async fn send(&self, to: SocketAddr, message: &Message) {
         let buf = codec::encode(message);
         self.traffic.sent(buf.len());
-        if let (Err(e), _) = self.socket.send_to(buf, to).await {
+        if let Err(e) = self.socket.send(buf, to).await {
             log::debug!("members: cannot send to {to}: {e}");
         }
     }
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -5,11 +5,11 @@
 mod traffic;
 
 use std::io;
-use std::net::UdpSocket as StdUdpSocket;
 use std::rc::Rc;
 
 use base::DaemonId;
 use http::StatusCode;
+use http_edge::Datagrams;
 use http_edge::Request;
 use http_edge::Response;
 use local_sync::mpsc::bounded;
@@ -18,7 +18,6 @@
 use membership::Role;
 use membership::SyncReply;
 use membership::SyncRequest;
-use monoio::net::udp::UdpSocket;
 use protocol::codec;
 
 use self::gossip::Gossip;
@@ -66,9 +65,7 @@
     /// # Errors
     /// When the socket cannot be opened.
     pub fn start(board: &Board) -> io::Result<Rc<Self>> {
-        let socket = StdUdpSocket::bind(board.me.settings.listen.peers)?;
-        socket.set_nonblocking(true)?;
-        let socket = Rc::new(UdpSocket::from_std(socket)?);
+        let socket = Rc::new(Datagrams::open(board.me.settings.listen.peers)?);
         let (tx, rx) = bounded::channel(EVENTS);
         let members = Rc::new(Self {
             tx: tx.clone(),
--- a/crates/http-edge/src/lib.rs
+++ b/crates/http-edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caught;
 mod client;
+mod datagram;
 mod encode;
 mod error;
 mod framing;
@@ -17,6 +18,7 @@
 mod server;
 
 pub use client::Conn;
+pub use datagram::Datagrams;
 pub use error::CallError;
 pub use error::ConnectError;
 pub use error::RequestFault;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod directory;
 pub mod docket;
+pub mod evidence;
 pub mod gate;
 pub mod health;
 pub mod instance;
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -4,9 +4,9 @@
 use std::time::Instant;
 
 use crate::docket::Docket;
-use crate::docket::Evidence;
-use crate::docket::RouteCount;
 use crate::docket::Verdict;
+use crate::evidence::Evidence;
+use crate::evidence::RouteCount;
 use crate::moves::MoveOrder;
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
@@ -401,3 +401,17 @@
     check(3, 100, Verdict::Open);
     check(1, 3000, Verdict::Open);
 }
+
+#[test]
+fn evidence_of_many_routes_keeps_the_busiest() {
+    let counts = (0..200_u32).map(|route| {
+        let count = RouteCount {
+            answers: route * 7 % 200,
+            ..RouteCount::default()
+        };
+        (format!("route-{route}").into(), count)
+    });
+    let evidence = Evidence::of_busiest("s".into(), "v2".into(), 1, counts);
+    let answers: Vec<u32> = evidence.routes.iter().map(|(_, c)| c.answers).collect();
+    assert_eq!(answers, (188..200).rev().collect::<Vec<_>>());
+}
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -129,7 +129,7 @@
     /// Share of its latest requests that the sender's instance failed, in thousandths.
     pub failures: u16,
     /// What the sender's instance did in a move, if there is one.
-    pub evidence: Option<crate::docket::Evidence>,
+    pub evidence: Option<crate::evidence::Evidence>,
     /// Moves that the sender knows.
     pub moves: Vec<MoveRecord>,
     /// The sender's claim to lead its zone.
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -16,8 +16,8 @@
 use local_sync::oneshot;
 use mesh::Gate;
 use mesh::config::RouteName;
-use mesh::docket::Evidence;
-use mesh::docket::RouteCount;
+use mesh::evidence::Evidence;
+use mesh::evidence::RouteCount;
 use mesh::gate::Ask;
 use mesh::gate::GateCfg;
 use mesh::gate::Next;
@@ -201,16 +201,15 @@
         if counts.born != heartbeat.born || counts.routes.is_empty() {
             return None;
         }
-        Some(Evidence {
-            service: heartbeat.service.clone(),
-            version: heartbeat.version.clone(),
-            born: counts.born,
-            routes: counts
+        Some(Evidence::of_busiest(
+            heartbeat.service.clone(),
+            heartbeat.version.clone(),
+            counts.born,
+            counts
                 .routes
                 .iter()
-                .map(|(route, count)| (route.clone(), count.clone()))
-                .collect(),
-        })
+                .map(|(route, count)| (route.clone(), count.clone())),
+        ))
     }
 
     fn note_health(&self, is_failure: bool) {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -4,8 +4,6 @@
 //! still lives.
 
 use std::net::SocketAddr;
-use std::net::UdpSocket as StdUdpSocket;
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,10 +12,10 @@
 use mesh::leads::Claim;
 use mesh::wire::Gossip;
 use mesh::wire::Member;
-use monoio::net::udp::UdpSocket;
 use protocol::codec;
 use serde_json::json;
 
+use crate::logs::Class;
 use crate::node::Node;
 use crate::node::Shared;
 
@@ -41,134 +39,124 @@
 /// Largest datagram, in bytes; fits one packet.
 const MAX_DATAGRAM: usize = 1400;
 
-/// Opens the socket.
-///
-/// # Errors
-/// When the address is taken or not ours.
-pub fn open(address: SocketAddr) -> std::io::Result<UdpSocket> {
-    let socket = StdUdpSocket::bind(address)?;
-    socket.set_nonblocking(true)?;
-    UdpSocket::from_std(socket)
-}
-
 /// Sends rounds for as long as the daemon runs.
-pub async fn send(node: Shared, socket: Rc<UdpSocket>) {
+pub async fn send(node: Shared) {
     loop {
         monoio::time::sleep(ROUND).await;
-        let carried = node.random_members(CARRIED);
-        for receiver in node.random_members(1) {
-            send_one(&socket, &node.gossip(carried.clone()), receiver.address).await;
-        }
+        let gossip = node.gossip(node.random_members(CARRIED));
+        let receivers = node.random_members(1);
+        let addresses = receivers.iter().map(|member| member.address);
+        node.send_gossip(&gossip, addresses).await;
     }
 }
 
 /// Tells the zone that this daemon leads it, and what the store told, for as long as it does.
-pub async fn lead(node: Shared, socket: Rc<UdpSocket>) {
+pub async fn lead(node: Shared) {
     let mut is_claimed = false;
     let mut told = (0, Vec::new());
     let mut told_at = Instant::now();
     loop {
         monoio::time::sleep(LEAD_EVERY).await;
-        let claim = node.claim();
-        if claim.is_some() != is_claimed {
-            is_claimed = claim.is_some();
+        let is_leading = node.claim().is_some();
+        if is_leading != is_claimed {
+            is_claimed = is_leading;
             node.believe(
                 "lead-changed",
                 || json!({ "leads": is_claimed, "failing": node.leads.borrow().is_failing(Instant::now()) }),
             );
         }
-        if claim.is_none() {
-            node.member_news.borrow_mut().clear();
+        let news = node.member_news.take();
+        if !is_leading {
             continue;
         }
-        let news = node.member_news.take();
         let state = (node.tables.borrow().version(), node.ranks());
         if told == state && news.is_empty() && told_at.elapsed() < ROUND {
             continue;
         }
         told = state;
         told_at = Instant::now();
-        let mut parts: Vec<Vec<Member>> = news.chunks(NEWS).map(<[Member]>::to_vec).collect();
-        if parts.is_empty() {
-            parts.push(Vec::new());
-        }
-        for receiver in node.led() {
-            for part in &parts {
-                send_one(&socket, &node.gossip(part.clone()), receiver).await;
-            }
+        let receivers = node.led();
+        // Without news, one datagram carries the claim.
+        let parts = news
+            .chunks(NEWS)
+            .chain(news.is_empty().then_some([].as_slice()));
+        for part in parts {
+            let gossip = node.gossip(part.to_vec());
+            node.send_gossip(&gossip, receivers.iter().copied()).await;
         }
     }
 }
 
 /// Sends evidence to the controller while a move is under way.
-pub async fn send_evidence(node: Shared, socket: Rc<UdpSocket>) {
+pub async fn send_evidence(node: Shared) {
     loop {
         monoio::time::sleep(EVIDENCE_EVERY).await;
         if let Some(address) = node.evidence_to() {
-            send_one(&socket, &node.gossip(Vec::new()), address).await;
+            node.send_gossip(&node.gossip(Vec::new()), [address]).await;
         }
     }
 }
 
 /// Receives for as long as the daemon runs.
-pub async fn receive(node: Shared, socket: Rc<UdpSocket>) {
+pub async fn receive(node: Shared) {
     let mut buf = vec![0; MAX_DATAGRAM * 2];
     loop {
-        let (received, returned) = socket.recv_from(buf).await;
+        let (returned, len, from) = node.datagrams.receive(buf).await;
         buf = returned;
-        let Ok((len, from)) = received else {
-            // A port that is closed at the other end shows up here as well.
-            monoio::time::sleep(Duration::from_millis(1)).await;
-            continue;
-        };
         let Ok(gossip) = codec::decode::<Gossip>(&buf[..len]) else {
             log::warn!("gossip: unreadable datagram from {from}");
             continue;
         };
         if gossip.wants_reply {
-            send_one(&socket, &node.gossip(Vec::new()), from).await;
+            node.send_gossip(&node.gossip(Vec::new()), [from]).await;
         }
         node.take_gossip(gossip, from);
     }
 }
 
-async fn send_one(socket: &UdpSocket, gossip: &Gossip, to: SocketAddr) {
-    let mut buf = codec::encode(gossip);
-    if buf.len() > MAX_DATAGRAM {
-        let short = Gossip {
-            members: gossip.members.iter().take(1).cloned().collect(),
-            evidence: None,
-            ..gossip.clone()
-        };
-        buf = codec::encode(&short);
+impl Node {
+    /// Sends one message to several daemons. One that does not fit a datagram goes without what others
+    /// carry as well.
+    async fn send_gossip(&self, gossip: &Gossip, to: impl IntoIterator<Item = SocketAddr>) {
+        let mut datagram = codec::encode(gossip);
+        if datagram.len() > MAX_DATAGRAM {
+            let size = datagram.len();
+            let now = Instant::now();
+            self.lines.line(Class::Failure, "gossip-cut", now, || {
+                json!({ "bytes": size, "members": gossip.members.len(), "moves": gossip.moves.len() })
+            });
+            datagram = codec::encode(&Gossip {
+                members: gossip.members.iter().take(1).cloned().collect(),
+                evidence: None,
+                ..gossip.clone()
+            });
+        }
+        for address in to {
+            if let Err(e) = self.datagrams.send(datagram.clone(), address).await {
+                let now = Instant::now();
+                self.lines.line(
+                    Class::Failure,
+                    "gossip-unsent",
+                    now,
+                    || json!({ "to": address, "reason": e.to_string() }),
+                );
+            }
+        }
     }
-    // A datagram that cannot be sent is as one that was lost on the way.
-    let _ = socket.send_to(buf, to).await;
-}
 
-impl Node {
     /// Asks the daemon at an address for a sign of life.
     pub async fn ask_for_life(&self, address: SocketAddr) {
-        let socket = self.socket.borrow().clone();
-        if let Some(socket) = socket {
-            let question = Gossip {
-                wants_reply: true,
-                ..self.gossip(Vec::new())
-            };
-            send_one(&socket, &question, address).await;
-        }
+        let question = Gossip {
+            wants_reply: true,
+            ..self.gossip(Vec::new())
+        };
+        self.send_gossip(&question, [address]).await;
     }
 
     /// Tells all members of this daemon's newest word about itself.
     pub async fn tell_all(&self) {
-        let socket = self.socket.borrow().clone();
-        let Some(socket) = socket else {
-            return;
-        };
-        let gossip = self.gossip(Vec::new());
-        for address in self.addresses(|_| true) {
-            send_one(&socket, &gossip, address).await;
-        }
+        let addresses = self.addresses(|_| true);
+        self.send_gossip(&self.gossip(Vec::new()), addresses).await;
     }
 
     /// Daemons that this one tells that it leads: its zone, and all while it decides on a move.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,6 +13,7 @@
 use base::Offset;
 use base::ServiceName;
 use bytes::Bytes;
+use http_edge::Datagrams;
 use http_edge::Latch;
 use http_edge::Pool;
 use http_edge::PoolCfg;
@@ -34,7 +35,6 @@
 use mesh::table::Adoption;
 use mesh::table::TableSlot;
 use mesh::wire::Member;
-use monoio::net::udp::UdpSocket;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -92,8 +92,8 @@
     pub stopping: Latch,
     /// Other daemons should send no more requests.
     pub closing: Latch,
-    /// Socket for datagrams between daemons.
-    pub socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Datagrams between daemons.
+    pub datagrams: Datagrams,
     rng: RefCell<SmallRng>,
 }
 
@@ -102,7 +102,12 @@
 
 impl Node {
     /// State of a daemon that knows nothing but its settings.
-    pub fn new(boot: Boot, incarnation: Incarnation, metrics: Metrics) -> Self {
+    pub fn new(
+        boot: Boot,
+        incarnation: Incarnation,
+        metrics: Metrics,
+        datagrams: Datagrams,
+    ) -> Self {
         let inner = PoolCfg {
             connect: INNER_CONNECT,
             idle: INNER_IDLE,
@@ -140,7 +145,7 @@
             has_members: Cell::new(false),
             stopping: Latch::default(),
             closing: Latch::default(),
-            socket: RefCell::default(),
+            datagrams,
             rng: RefCell::new(SmallRng::seed_from_u64(base::hash::stable(&[
                 boot.daemon.as_bytes(),
                 &incarnation.to_be_bytes(),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -14,6 +14,7 @@
 
 use base::units::unix_millis;
 use http::StatusCode;
+use http_edge::Datagrams;
 use http_edge::Handler;
 use http_edge::Request;
 use http_edge::Response;
@@ -124,7 +125,9 @@
     pub fn start(boot: Boot) -> Result<Self, StartError> {
         let incarnation = unix_millis(SystemTime::now());
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
-        let node = Rc::new(Node::new(boot, incarnation, metrics));
+        let inner = SocketAddr::new(boot.ip, boot.ports.0);
+        let datagrams = Datagrams::open(inner).map_err(|e| StartError::Listen(inner, e))?;
+        let node = Rc::new(Node::new(boot, incarnation, metrics, datagrams));
         let servers = start(&node)?;
         node.believe("started", || {
             let boot = node.boot.borrow();
@@ -205,14 +208,10 @@
             )?,
         ],
     };
-    let socket = gossip::open(inner_address)
-        .map(Rc::new)
-        .map_err(|e| StartError::Listen(inner_address, e))?;
-    *node.socket.borrow_mut() = Some(Rc::clone(&socket));
-    monoio::spawn(gossip::send(Rc::clone(node), Rc::clone(&socket)));
-    monoio::spawn(gossip::lead(Rc::clone(node), Rc::clone(&socket)));
-    monoio::spawn(gossip::send_evidence(Rc::clone(node), Rc::clone(&socket)));
-    monoio::spawn(gossip::receive(Rc::clone(node), socket));
+    monoio::spawn(gossip::send(Rc::clone(node)));
+    monoio::spawn(gossip::lead(Rc::clone(node)));
+    monoio::spawn(gossip::send_evidence(Rc::clone(node)));
+    monoio::spawn(gossip::receive(Rc::clone(node)));
     monoio::spawn(follow::follow(Rc::clone(node), Topic::Operator));
     monoio::spawn(follow::follow(Rc::clone(node), Topic::Mesh));
     monoio::spawn(follow::relay(Rc::clone(node)));
