Do less for each message: no second packing, no fields of lines that are not written

A follower unpacked a configuration and packed it again for others; it keeps the packed bytes. The fields of member-learned and move-learned were built for each datagram, also where nothing was new. The operator's records are told apart in one match. No behaviour is meant to change.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -19,7 +19,7 @@
 use users_platform::StoreError;
 use users_platform::Topic;
 use users_platform::operator;
-use users_platform::operator::Word;
+use users_platform::operator::OperatorRecord;
 use users_platform::records::KeyedRecord;
 
 use crate::forward::CONFIG_PATH;
@@ -117,11 +117,11 @@
     loop {
         monoio::time::sleep(RELAY_EVERY).await;
         if let Some(address) = node.config_from.take()
-            && let Some(bytes) = node.fetch(address, CONFIG_PATH).await
-            && !bytes.is_empty()
+            && let Some(packed) = node.fetch(address, CONFIG_PATH).await
+            && !packed.is_empty()
         {
-            match packed::unpack(&bytes) {
-                Ok(bytes) => node.adopt_config(&bytes, "daemon"),
+            match packed::unpack(&packed) {
+                Ok(bytes) => node.adopt_config(&bytes, "daemon", || packed),
                 Err(e) => node.believe(
                     "config-unreadable",
                     || json!({ "source": "daemon", "from": address, "reason": e.to_string() }),
@@ -211,20 +211,19 @@
             return;
         };
         match topic {
-            Topic::Operator => self.take_word(&record.key, &value, record.offset),
+            Topic::Operator => self.take_operator_record(&record.key, &value, record.offset),
             Topic::Mesh => self.take_mesh_record(&record.key, &value),
             Topic::Reports => {}
         }
     }
 
-    fn take_word(&self, key: &str, value: &Bytes, offset: Offset) {
-        if operator::is_config(key) {
-            self.adopt_config(value, "store");
-            return;
-        }
+    fn take_operator_record(&self, key: &str, value: &Bytes, offset: Offset) {
         match operator::decode(key, value, offset) {
-            Ok(Word::Order(order)) => self.begin_move(order),
-            Ok(Word::Config(_) | Word::Other) => {}
+            Ok(OperatorRecord::Config) => {
+                self.adopt_config(value, "store", || packed::pack(value));
+            }
+            Ok(OperatorRecord::Order(order)) => self.begin_move(order),
+            Ok(OperatorRecord::Other) => {}
             Err(reason) => {
                 self.believe(
                     "order-unreadable",
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -82,15 +82,19 @@
             .borrow_mut()
             .entry(record.order.offset)
             .or_insert_with(Instant::now);
-        let fields = json!({
-            "service": record.order.service,
-            "target": record.order.target,
-            "order": record.order.offset,
-            "stage": format!("{:?}", record.stage),
-            "source": source,
-        });
+        let service = record.order.service.clone();
         if self.moves.borrow_mut().merge(record) {
-            self.believe("move-learned", || fields);
+            self.believe("move-learned", || {
+                let moves = self.moves.borrow();
+                let record = moves.get(&service);
+                json!({
+                    "service": service,
+                    "target": record.map(|record| &record.order.target),
+                    "order": record.map(|record| record.order.offset),
+                    "stage": record.map(|record| format!("{:?}", record.stage)),
+                    "source": source,
+                })
+            });
         }
     }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -48,7 +48,6 @@
 use crate::gate::GateTask;
 use crate::logs::Budget;
 use crate::logs::Class;
-use crate::packed;
 
 /// Idle connections between daemons are not used again after this time; shorter than the time
 /// after which a server closes them.
@@ -186,8 +185,9 @@
         }
     }
 
-    /// Takes in the bytes of a configuration; `source` says where it came from.
-    pub fn adopt_config(&self, bytes: &Bytes, source: &str) {
+    /// Takes in the bytes of a configuration; `source` says where it came from, `pack` gives them
+    /// compressed for other daemons.
+    pub fn adopt_config(&self, bytes: &Bytes, source: &str, pack: impl FnOnce() -> Bytes) {
         let cfg = match operator::decode_config(bytes) {
             Ok(cfg) => cfg,
             Err(e) => {
@@ -200,7 +200,7 @@
         };
         let before = self.tables.borrow().version();
         if self.tables.borrow_mut().offer(&cfg) == Adoption::Adopted {
-            *self.packed_config.borrow_mut() = packed::pack(bytes);
+            *self.packed_config.borrow_mut() = pack();
             self.believe("config-adopted", || {
                 json!({
                     "version": cfg.version,
@@ -218,15 +218,15 @@
             self.outrun(&member);
             return Merge::Known;
         }
-        let now = Instant::now();
-        let described = describe(&member);
-        let merge = self.directory.borrow_mut().merge(member, now);
+        let daemon = member.daemon.clone();
+        let merge = self.directory.borrow_mut().merge(member, Instant::now());
         if merge == Merge::Newer {
             self.resize_retries();
-            self.believe(
-                "member-learned",
-                || json!({ "member": described, "source": source }),
-            );
+            self.believe("member-learned", || {
+                let directory = self.directory.borrow();
+                let member = directory.get(&daemon).map(|entry| describe(&entry.member));
+                json!({ "member": member, "source": source })
+            });
         }
         merge
     }
