Name each figure's source, and tell each failed call between daemons

- Constants of the daemon and its cores have a unit and a line on where the figure comes from; some literals got names.
- A connection to another daemon that cannot be opened and a reply that does not come have lines of their own with the reason; a request without a head too.
- The line at the start tells the strength by which daemons lead.
- Tests over sockets share their settings.
No behaviour is meant to change.

--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -41,11 +41,14 @@
 use crate::message::Request;
 use crate::message::Response;
 
-/// Silence after which the kernel probes a connection, the time between two probes, and the probes
-/// without an answer after which the connection counts as broken. Shows a peer that is gone while a
-/// call waits long for news; the kernel counts whole seconds.
+/// Silence after which the kernel probes a connection, so that a peer that is gone shows while a call
+/// waits long for news. One second is the shortest that the kernel counts.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between two probes, as short.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection counts as broken; one or two may be lost.
 const PROBES: u32 = 3;
 
 /// An open connection that carries one request at a time.
--- a/crates/mesh/src/docket.rs
+++ b/crates/mesh/src/docket.rs
@@ -21,19 +21,24 @@
 /// Time after which an instance whose evidence no longer comes is not heard; some rounds of gossip.
 const EVIDENCE_LIFE: Duration = Duration::from_secs(2);
 
-/// Answers of the target without which no step beyond the first is taken.
+/// Answers of the target without which no step beyond the first is taken: fewer scatter too much to
+/// tell a failure of a tenth from none.
 const MIN_ANSWERS: u32 = 12;
 
-/// Failures on one route before a version can be called bad.
+/// Failures on one route before a version can be called bad: an eighth of the fifty after which the
+/// users' five seconds begin.
 const MIN_FAILURES: u32 = 6;
 
-/// A version is bad when its share of failures is this many times that of the old one.
+/// A version is bad when its share of failures is this many times that of the old one. Fewer
+/// leave no room for the scatter of a few answers.
 const FAILURE_RATIO: f64 = 5.0;
 
-/// Share of failures that any version may have.
+/// Share of failures that any version may have: the users' instances fail up to 1% when nothing is
+/// wrong.
 const FAILURE_FLOOR: f64 = 0.03;
 
-/// Share of failures from which a version is bad, whatever the old one fails.
+/// Share of failures from which a version is bad, whatever the old one fails: it fails more often than
+/// not.
 const FAILURE_CEILING: f64 = 0.5;
 
 /// Share of failures among the latest answers of the old version from which its service is in trouble
@@ -45,21 +50,22 @@
 /// to compare with.
 const MISSING_LIMIT: f64 = 0.3;
 
-/// Answers on one route before its times are compared.
+/// Answers on one route before its times are compared; their mean is then within a quarter.
 const MIN_TIMED: u32 = 20;
 
 /// A version is bad when its answers take this many times those of the old one. While it gets all
 /// requests its instances are fuller than the old ones were, so twice the time tells nothing.
 const SLOW_RATIO: f64 = 3.0;
 
-/// An answer is slow when it takes this many times the mean of the old version.
+/// An answer is slow when it takes this many times the mean of the old version; less than one good
+/// answer in a hundred does.
 const SLOW_ANSWER: f64 = 4.0;
 
-/// Share of slow answers that any version may have.
+/// Share of slow answers that any version may have: two of the fewest answers that are compared.
 const SLOW_FLOOR: f64 = 0.08;
 
 /// A version is bad when its share of slow answers, beyond the floor, is this many times that of
-/// the old one.
+/// the old one, which leaves room for fuller instances.
 const SLOW_SHARE_RATIO: f64 = 4.0;
 
 /// What the counts say about the target of a move.
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -28,7 +28,8 @@
     pub times: [u32; TIME_BOUNDS.len() + 1],
 }
 
-/// Bounds of the counts of answers by their time, in milliseconds.
+/// Bounds of the counts of answers by their time, in milliseconds: powers of two around the users'
+/// service times of 22 to 290 ms.
 pub const TIME_BOUNDS: [u64; 5] = [64, 128, 256, 512, 1024];
 
 impl RouteCount {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -21,7 +21,8 @@
 use crate::config::Rank;
 use crate::config::RouteName;
 
-/// Weight of the latest request in the mean service time, as one part in so many.
+/// Weight of the latest request in the mean service time, as one part in so many: the mean follows
+/// within some dozen requests, a second of one instance.
 const SERVICE_TIME_PARTS: u32 = 16;
 
 /// Bounds of a gate.
@@ -71,23 +72,27 @@
     Long,
 }
 
-/// A request is short when it takes less than this part of the mean, in thousandths.
+/// A request is short when it takes less than this part of the mean, in thousandths. The users' calls
+/// take a fifth to a third of their pages.
 const SHORT_PART: u32 = 750;
 
-/// Part of the time sums that is kept with each request that ends.
+/// Part of the time sums that is kept with each request that ends: they tell of the last hundred.
 const TIME_KEPT: f64 = 0.99;
 
 /// Largest share of the slot time that is believed to go to short requests, so that long ones are
-/// never taken for hopeless.
+/// never taken for hopeless: a fifth of the slots is theirs.
 const MAX_SHORT_SHARE: f64 = 0.8;
 
-/// Weight of the latest wait in the factor between real and expected waits.
+/// Weight of the latest wait in the factor between real and expected waits: it tells of the last
+/// twenty.
 const WAIT_SMOOTHING: f64 = 0.05;
 
-/// Expected waits below this, in seconds, are not compared with real ones.
+/// Expected waits below this, in seconds, are not compared with real ones; timers alone are off by as
+/// much.
 const MIN_EXPECTED_WAIT: f64 = 0.005;
 
-/// Largest factor between real and expected waits that is believed.
+/// Largest factor between real and expected waits that is believed: beyond it an instance stands
+/// still, which silence shows sooner.
 const MAX_WAIT_FACTOR: f64 = 4.0;
 
 /// Decides which requests run, wait, or are refused. `K` names a request.
--- a/crates/mesh/src/health.rs
+++ b/crates/mesh/src/health.rs
@@ -11,13 +11,14 @@
 /// seconds after its last failure.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// Good requests that are assumed beside the counted ones, so that one failure tells little.
+/// Good requests that are assumed beside the counted ones, so that one failure counts as a fifth.
 const ASSUMED_GOOD: f64 = 4.0;
 
-/// Rise of the share of failures, in thousandths, at which all callers are told at once.
+/// Rise of the share of failures, in thousandths, at which all callers are told at once: what placing
+/// tolerates.
 const ALARM_STEP: u16 = 100;
 
-/// Share of failures, in thousandths, below which the next rise counts from zero again.
+/// Share of failures, in thousandths, below which the next rise counts from zero again: half a step.
 const CALM_BELOW: u16 = 50;
 
 /// Tells when all callers should hear that an instance fails more of its requests.
--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -11,7 +11,7 @@
 /// Name that an instance gives itself.
 pub type InstanceId = SmolStr;
 
-/// Heartbeats that may be missing before an instance counts as gone.
+/// Heartbeats that may be missing before an instance counts as gone; one may come seconds late.
 const MISSED_HEARTBEATS: u32 = 3;
 
 /// One heartbeat of an instance.
--- a/crates/mesh/src/leads.rs
+++ b/crates/mesh/src/leads.rs
@@ -21,7 +21,8 @@
 /// A claim that was not repeated for this time has lapsed; four rounds of gossip.
 pub const CLAIM_LIFE: Duration = Duration::from_secs(1);
 
-/// A daemon that the store failed leaves the lead to others for this time.
+/// A daemon that the store failed leaves the lead to others for this time: some of its longest pauses
+/// between tries.
 const FAILURE_LIFE: Duration = Duration::from_secs(5);
 
 /// How much a daemon can carry for others; the larger, the more.
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -113,7 +113,8 @@
 /// before it got a tenth of the requests of the whole time.
 const STEPS: [(u64, Share); 3] = [(0, PROBE_SHARE), (700, 500), (720, 1000)];
 
-/// Part of the time of a move after which it is complete, in thousandths.
+/// Part of the time of a move after which it is complete, in thousandths. After it 2 s of the users'
+/// 16 s are left for the report.
 const COMPLETE_AT: u64 = 860;
 
 /// The record of a move, `elapsed` after its order. An end is final; a share only falls where it is
--- a/crates/mesh/src/placing.rs
+++ b/crates/mesh/src/placing.rs
@@ -53,12 +53,14 @@
             near_until: 0.9,
             // Between zones a request takes some milliseconds more, a few percent of its time.
             near_factor: 0.75,
+            // The pace tells of the last ten answers, about a second of one caller.
             smoothing: 0.1,
             // An idle instance that failed one of its last five requests counts as nearly full.
             failure_penalty: 8.0,
             failures_tolerated: 0.1,
             // The platform's instances take twice the time while cold.
             cold_room: 0.5,
+            // A restart of a daemon takes about as long as the first, a machine's the longest.
             first_pause: Duration::from_millis(300),
             max_pause: Duration::from_secs(3),
         }
@@ -109,9 +111,20 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Draws(pub u64, pub u64);
 
-/// Bounds of the pace, so that one odd answer rules no instance out.
+/// Bounds of the pace, so that one odd answer rules no instance out: the users' slow instances take up
+/// to four times as long.
 const PACE_BOUNDS: (f64, f64) = (0.3, 6.0);
 
+/// Weight of the latest answer in the mean time of its route: it tells of the last fifty, over all
+/// instances.
+const ROUTE_SMOOTHING: f64 = 0.02;
+
+/// Shortest time of an answer, in milliseconds, that is compared.
+const MIN_ANSWER_MS: f64 = 0.1;
+
+/// Doublings of the pause of an instance that cannot be reached; the longest pause comes before.
+const MAX_DOUBLINGS: u32 = 8;
+
 impl Placer {
     /// Knows nothing about any instance.
     #[must_use]
@@ -241,7 +254,9 @@
             }
             Finding::Failed => seen.health.count(true, now),
             Finding::Unreachable => {
-                let pause = first.saturating_mul(1 << seen.pauses.min(8)).min(max);
+                let pause = first
+                    .saturating_mul(1 << seen.pauses.min(MAX_DOUBLINGS))
+                    .min(max);
                 seen.pauses += 1;
                 seen.paused_until = Some(now + pause);
             }
@@ -266,10 +281,10 @@
 
     /// Time of an answer against the mean of its route over all instances.
     fn ratio_to_route(&mut self, route: &RouteName, took: Duration) -> f64 {
-        let ms = (took.as_secs_f64() * 1e3).max(0.1);
+        let ms = (took.as_secs_f64() * 1e3).max(MIN_ANSWER_MS);
         let mean = self.route_ms.entry(route.clone()).or_insert(ms);
-        *mean += 0.02 * (ms - *mean);
-        ms / mean.max(0.1)
+        *mean += ROUTE_SMOOTHING * (ms - *mean);
+        ms / mean.max(MIN_ANSWER_MS)
     }
 
     fn is_paused(&self, entry: &Entry, now: Instant) -> bool {
--- a/crates/mesh/src/retries.rs
+++ b/crates/mesh/src/retries.rs
@@ -16,7 +16,7 @@
 /// repeats at the services that it calls, and requests that never arrived earn nothing.
 const USED_RATIO: f64 = 500.0;
 
-/// Part of the allowance on top that is used.
+/// Part of the allowance on top that is used, for the same reasons.
 const USED_SLACK: f64 = 0.5;
 
 /// Budgets of repeats by service.
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -17,7 +17,8 @@
 use crate::node::Node;
 use crate::node::Shared;
 
-/// How often the daemon looks whether there is something new to tell.
+/// How often the daemon looks whether there is something new to tell; small against the second in which
+/// others must know of an instance that leaves.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// Beginning of the keys of members in the daemons' own topic.
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -32,7 +32,7 @@
 /// with it.
 const WAIT: Duration = Duration::from_secs(10);
 
-/// How often a daemon that follows looks whether it has to lead.
+/// How often a daemon that follows looks whether it has to lead; a tenth of the life of a claim.
 const ROLE_EVERY: Duration = Duration::from_millis(100);
 
 /// Pause after news of members, so that words that come together are read together; meanwhile gossip
@@ -43,10 +43,11 @@
 /// two seconds.
 const GATHER_CONFIGS: Duration = Duration::from_millis(300);
 
-/// How often a daemon looks whether another one knows something better.
+/// How often a daemon looks whether another one knows something better; small against the two seconds
+/// in which a configuration must be in force.
 const RELAY_EVERY: Duration = Duration::from_millis(50);
 
-/// Longest time for the configuration or the members from another daemon.
+/// Longest time for the configuration or the members from another daemon: half of those two seconds.
 const RELAY_TIME: Duration = Duration::from_secs(1);
 
 /// Pauses after failures of the store. The first is short, since entries have to be back within
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -24,6 +24,7 @@
 use serde_json::json;
 
 use crate::gate::Passed;
+use crate::logs::Class;
 use crate::node::Node;
 use crate::node::Shared;
 
@@ -33,10 +34,12 @@
 /// Path at which a daemon gives all members that it knows to others.
 pub const MEMBERS_PATH: &str = "/inner/members";
 
-/// Time beyond a request's deadline in which the other daemon's answer is still taken.
+/// Time beyond a request's deadline in which the other daemon's answer is still taken: that of the
+/// instance's answer at its gate, and the way between zones.
 const REPLY_SLACK: Duration = Duration::from_millis(150);
 
-/// Time after which the daemon at the other end of a call under way is asked for a sign of life.
+/// Time after which the daemon at the other end of a call under way is asked for a sign of life; most
+/// answers come sooner.
 const QUIET: Duration = Duration::from_millis(300);
 
 /// Time between two such questions; several fit the limit, so that one lost datagram tells
@@ -68,27 +71,44 @@
             self.placer.borrow_mut().told(to, load, failures, now);
             return Forwarded::Replied(passed);
         }
-        let Ok(mut conn) = self.inner.take(member.address).await else {
-            return Forwarded::Unreachable;
+        let mut conn = match self.inner.take(member.address).await {
+            Ok(conn) => conn,
+            Err(e) => {
+                self.call_failed("daemon-unreachable", head, member, &e.to_string());
+                return Forwarded::Unreachable;
+            }
         };
-        let mut inner = req.clone();
-        let text = codec::encode_text(head);
-        inner = inner.with_header(HEAD_HEADER, text);
+        let inner = req
+            .clone()
+            .with_header(HEAD_HEADER, codec::encode_text(head));
         let limit = Duration::from_millis(u64::from(head.left_ms)) + REPLY_SLACK;
         let answered = monoio::select! {
             answered = conn.call(inner, limit) => answered,
             () = self.silence_of(&member.daemon, member.address) => Err(CallError::TimedOut),
         };
-        let Ok(res) = answered else {
-            drop(conn);
-            self.inner.forget(member.address);
-            return Forwarded::Lost("no reply of the daemon beside the instance");
+        let res = match answered {
+            Ok(res) => res,
+            Err(e) => {
+                drop(conn);
+                self.inner.forget(member.address);
+                self.call_failed("reply-missing", head, member, &e.to_string());
+                return Forwarded::Lost("no reply of the daemon beside the instance");
+            }
         };
         self.inner.put(conn);
         self.hear(&member.daemon);
         self.read_reply(to, res)
     }
 
+    fn call_failed(&self, event: &'static str, head: &GateHead, to: &Member, reason: &str) {
+        self.lines.line(
+            Class::Failure,
+            event,
+            Instant::now(),
+            || json!({ "request": head.request, "daemon": to.daemon, "reason": reason }),
+        );
+    }
+
     fn read_reply(&self, to: &Entry, mut res: Response) -> Forwarded {
         let reply = res
             .header(OUTCOME_HEADER)
@@ -177,6 +197,7 @@
         }
         let head = req.header(HEAD_HEADER).map(codec::decode_text::<GateHead>);
         let Some(Ok(head)) = head else {
+            log::warn!("inner: a request without a readable head");
             return Response::text(StatusCode::BAD_REQUEST, "unreadable head");
         };
         req.headers.remove(HEAD_HEADER);
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -37,32 +37,34 @@
 use crate::logs::Class;
 use crate::node::Node;
 
-/// Slots that are assumed before the instance told its own.
+/// Slots that are assumed before the instance told its own: fewer than any of the users' has.
 const INITIAL_SLOTS: u32 = 8;
 
 /// Requests that may wait; bounds memory, since the time left bounds the wait.
 const MAX_QUEUED: usize = 128;
 
-/// Service time that is assumed before the first answer.
+/// Service time that is assumed before the first answer: between the users' calls and pages.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
 
-/// Shortest time after which a refused request is told to come back.
+/// Shortest time after which a refused request is told to come back: about the time in which one of a
+/// few slots gets free.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Longest such time; clients have less than two seconds in all.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Longest time to open a connection to the instance on the same machine.
+/// Longest time to open a connection to the instance on the same machine; the users' take 1 ms.
 const CONNECT: Duration = Duration::from_millis(250);
 
 /// Idle connections to the instance are not used again after this time; instances close theirs
 /// after several seconds.
 const IDLE: Duration = Duration::from_secs(4);
 
-/// Idle connections kept to the instance.
+/// Idle connections kept to the instance: more than any of the users' instances has slots.
 const KEPT: usize = 64;
 
-/// How often waiting requests are looked at when none ends.
+/// How often waiting requests are looked at when none ends: the shortest time that one is told to stay
+/// away.
 pub const PUMP_EVERY: Duration = Duration::from_millis(50);
 
 type Key = u64;
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -23,14 +23,15 @@
 /// of a hundred has reaches all within ten rounds.
 const ROUND: Duration = Duration::from_millis(250);
 
-/// How often a daemon that leads its zone looks for news to tell at once.
+/// How often a daemon that leads its zone looks for news to tell at once: a fifth of a round.
 const LEAD_EVERY: Duration = Duration::from_millis(50);
 
 /// Time between two words of evidence to the controller of a move, which is what a bad version
 /// costs at least.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(100);
 
-/// Other members that a datagram tells of.
+/// Other members that a datagram tells of: with them a fleet of a hundred is told of within a minute,
+/// besides what is told at once.
 const CARRIED: usize = 2;
 
 /// Members that a datagram tells of when the store told of them; fits one packet.
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -32,20 +32,22 @@
 use crate::node::Node;
 use crate::node::Shared;
 
-/// Time that a client waits when it does not say.
+/// Time that a client waits when it does not say: more than any route of the users allows.
 const DEFAULT_TIME: Duration = Duration::from_secs(10);
 
-/// Refusals by gates after which the client is told to come back.
+/// Refusals by gates after which the client is told to come back: three of a few instances tell that a
+/// service is full.
 const MAX_REFUSALS: usize = 3;
 
 /// A request that was refused after this part of the time for its full value is not offered to
 /// further gates: it would wait there again, while its client could come back.
 const REFUSAL_PART: u32 = 4;
 
-/// Time after which a client is told to come back where no instance takes requests.
+/// Time after which a client is told to come back where no instance takes requests: one round of gossip.
 const NO_INSTANCE_RETRY: Duration = Duration::from_millis(250);
 
-/// The instance gets this much less time than is left, for its answer's way back.
+/// The instance gets this much less time than is left, for its answer's way back: two ways between
+/// zones and to the client.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
 /// Takes requests from clients and from the instance on this machine.
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -24,13 +24,13 @@
 use serde_json::Value;
 use serde_json::json;
 
-/// Most bytes that are gathered between two writes.
+/// Most bytes that are gathered between two writes: all lines that the budgets allow in a second, twice.
 const BUFFER: usize = 64 * 1024;
 
-/// Writes that may wait for the thread.
+/// Writes that may wait for the thread: a second of them.
 const PENDING_WRITES: usize = 4;
 
-/// How often gathered lines are handed to the thread.
+/// How often gathered lines are handed to the thread; an engineer on call does not wait for less.
 pub const FLUSH_EVERY: Duration = Duration::from_millis(250);
 
 /// Target of lines that are JSON objects already.
--- a/crates/sidecar/src/mover.rs
+++ b/crates/sidecar/src/mover.rs
@@ -30,7 +30,7 @@
 use crate::node::Node;
 use crate::node::Shared;
 
-/// How often the controller looks at the evidence.
+/// How often the controller looks at the evidence: as often as it is told.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// Beginning of the keys of moves, in the daemons' own topic and beside the reports.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -56,7 +56,8 @@
 /// Longest time to open a connection to another daemon: some round trips of a few milliseconds.
 const INNER_CONNECT: Duration = Duration::from_millis(200);
 
-/// Daemons that are assumed to share the budget of repeats before any is known.
+/// Daemons that are assumed to share the budget of repeats before any is known: more than the users'
+/// sites have, so that too little is spent rather than too much.
 const UNKNOWN_FLEET: usize = 100;
 
 /// State of one daemon. Only tasks of the one thread touch it, and no borrow lives over an await.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -20,6 +20,7 @@
 use http_edge::Response;
 use http_edge::Server;
 use http_edge::ServerCfg;
+use mesh::leads::strength;
 use report::metrics::Metrics;
 use report::metrics::MetricsError;
 use serde_json::json;
@@ -45,10 +46,10 @@
 /// Port of the metrics; the deploy file names the same one.
 const METRICS_PORT: u16 = 9464;
 
-/// How often the daemon looks for a signal.
+/// How often the daemon looks for a signal; small against its grace period.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
 
-/// How often the settings file is read without a signal.
+/// How often the settings file is read without a signal: it may change without one.
 const RELOAD_EVERY: Duration = Duration::from_secs(1);
 
 /// Time between SIGTERM and the end of listening. The platform asks once a second and sends no
@@ -59,19 +60,22 @@
 /// then the instance is served, since a restart takes it away from all.
 const FAREWELL: Duration = Duration::from_millis(500);
 
-/// Part of the grace period that is left for the process to end.
+/// Part of the grace period that is left for the process to end: a tenth of the users' 6 s.
 const END_MARGIN: Duration = Duration::from_millis(600);
 
-/// How long idle connections between daemons stay open at the accepting end.
+/// How long idle connections between daemons stay open at the accepting end: three times as long as the
+/// other end uses them.
 const INNER_IDLE: Duration = Duration::from_mins(1);
 
-/// How long idle connections of clients stay open at least; the configuration may ask for less.
+/// How long idle connections of clients stay open: longer than the users' configurations let clients
+/// use them, which is some 15 s.
 const CLIENT_IDLE: Duration = Duration::from_mins(1);
 
-/// Bodies of clients up to this size, in bytes, are taken; memory is scarce on the machines.
+/// Bodies of clients up to this size, in bytes, are taken. The users' limit is larger; the memory of a
+/// machine holds few of that size.
 const CLIENT_BODY: usize = 8 * 1024 * 1024;
 
-/// Heads of clients up to this size, in bytes, are taken.
+/// Heads of clients up to this size, in bytes, are taken: four times the users' limit.
 const CLIENT_HEAD: usize = 64 * 1024;
 
 /// Why a daemon cannot start.
@@ -131,7 +135,12 @@
         let servers = start(&node)?;
         node.believe("started", || {
             let boot = node.boot.borrow();
-            json!({ "daemon": boot.daemon, "zone": boot.zone, "incarnation": incarnation })
+            json!({
+                "daemon": boot.daemon,
+                "zone": boot.zone,
+                "incarnation": incarnation,
+                "strength": strength(boot.core_permille, boot.link_mbps),
+            })
         });
         log::logger().flush();
         Ok(Self { node, servers })
--- /dev/null
+++ b/crates/sidecar/tests/common/mod.rs
@@ -0,0 +1,41 @@
+//! What the tests over sockets share.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use users_platform::Boot;
+
+/// Longest time for anything that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Ports of a machine.
+pub const REQUESTS: u16 = 9101;
+pub const READY: u16 = 9102;
+pub const HEARTBEATS: u16 = 9103;
+pub const INSTANCE: u16 = 9104;
+pub const INNER: u16 = 9105;
+pub const STORE: u16 = 9106;
+
+/// Settings of a daemon.
+pub fn boot(daemon: &str, ip: IpAddr, service: &str, store: IpAddr) -> Boot {
+    let at = |port: u16| SocketAddr::new(ip, port);
+    Boot {
+        daemon: daemon.into(),
+        ip,
+        zone: "suva-a".into(),
+        requests: at(REQUESTS),
+        ready: at(READY),
+        heartbeats: at(HEARTBEATS),
+        ports: (INNER, INNER),
+        instance: at(INSTANCE),
+        service: service.into(),
+        heartbeat_every: Duration::from_mins(1),
+        store: SocketAddr::new(store, STORE),
+        retry_ratio: 0.2,
+        retry_slack: 1000.0,
+        grace: Duration::from_secs(1),
+        core_permille: 200,
+        link_mbps: 1000,
+    }
+}
--- a/crates/sidecar/tests/logs.rs
+++ b/crates/sidecar/tests/logs.rs
@@ -1,5 +1,7 @@
 //! A reader that does not read the log holds no request up.
 
+mod common;
+
 use std::io;
 use std::io::Write;
 use std::net::IpAddr;
@@ -21,9 +23,10 @@
 use sidecar::logs;
 use sidecar::run::Daemon;
 use standin_store::StoreService;
-use users_platform::Boot;
 
-const PATIENCE: Duration = Duration::from_secs(10);
+use crate::common::PATIENCE;
+use crate::common::REQUESTS;
+use crate::common::STORE;
 
 /// Longer than the log takes to fill its queue: its budget brings about one write a second.
 const BLOCKED: Duration = Duration::from_secs(8);
@@ -53,27 +56,6 @@
     SocketAddr::new(IP, port)
 }
 
-fn boot() -> Boot {
-    Boot {
-        daemon: "machine-1".into(),
-        ip: IP,
-        zone: "suva-a".into(),
-        requests: at(9101),
-        ready: at(9102),
-        heartbeats: at(9103),
-        ports: (9105, 9105),
-        instance: at(9104),
-        service: "catalogue".into(),
-        heartbeat_every: Duration::from_mins(1),
-        store: at(9106),
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        grace: Duration::from_secs(1),
-        core_permille: 200,
-        link_mbps: 1000,
-    }
-}
-
 async fn get(port: u16, path: &str) -> (StatusCode, String) {
     let mut conn = Conn::connect(at(port), PATIENCE, Limits::default())
         .await
@@ -95,15 +77,16 @@
     };
     let _logger = logs::start_on(pipe).expect("the log starts");
     http_edge::block_on(async {
-        let listener = http_edge::listen(at(9106)).expect("the address is free");
+        let listener = http_edge::listen(at(STORE)).expect("the address is free");
         let store = Rc::new(StoreService::default());
         let server = Server::start(listener, store, ServerCfg::default());
-        let daemon = Daemon::start(boot()).expect("the daemon starts");
+        let daemon = Daemon::start(common::boot("machine-1", IP, "catalogue", IP))
+            .expect("the daemon starts");
         let since = Instant::now();
         let mut asked = 0;
         while since.elapsed() < BLOCKED {
             // Without a configuration each request is refused, with a line.
-            let (status, _) = get(9101, "/look/1").await;
+            let (status, _) = get(REQUESTS, "/look/1").await;
             assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
             asked += 1;
         }
--- a/crates/sidecar/tests/path.rs
+++ b/crates/sidecar/tests/path.rs
@@ -1,6 +1,8 @@
 //! The whole path: clients, daemons, instances and the stand-in for the store, in one process on
 //! addresses of the loopback range.
 
+mod common;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
@@ -24,13 +26,12 @@
 use users_platform::Boot;
 use users_platform::records;
 
-const PATIENCE: Duration = Duration::from_secs(10);
-const REQUESTS: u16 = 9101;
-const READY: u16 = 9102;
-const HEARTBEATS: u16 = 9103;
-const INSTANCE: u16 = 9104;
-const INNER: u16 = 9105;
-const STORE: u16 = 9106;
+use crate::common::HEARTBEATS;
+use crate::common::INSTANCE;
+use crate::common::PATIENCE;
+use crate::common::READY;
+use crate::common::REQUESTS;
+use crate::common::STORE;
 
 /// How an instance answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,26 +78,8 @@
 }
 
 fn boot(test: u8, machine: u8, service: &str) -> Boot {
-    let ip = ip(test, machine);
-    let at = |port: u16| SocketAddr::new(ip, port);
-    Boot {
-        daemon: format!("machine-{machine}").into(),
-        ip,
-        zone: "suva-a".into(),
-        requests: at(REQUESTS),
-        ready: at(READY),
-        heartbeats: at(HEARTBEATS),
-        ports: (INNER, INNER),
-        instance: at(INSTANCE),
-        service: service.into(),
-        heartbeat_every: Duration::from_mins(1),
-        store: SocketAddr::new(self::ip(test, 1), STORE),
-        retry_ratio: 0.2,
-        retry_slack: 1000.0,
-        grace: Duration::from_secs(1),
-        core_permille: 200,
-        link_mbps: 1000,
-    }
+    let name = format!("machine-{machine}");
+    common::boot(&name, ip(test, machine), service, ip(test, 1))
 }
 
 fn serve<H: Handler>(address: SocketAddr, handler: Rc<H>) -> Server {
