--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -1,6 +1,6 @@
 //! All daemons of the mesh and their instances, merged from records and gossip.
 //!
-//! The newest word of a daemon about itself wins, whichever way it came, so the order and the
+//! The newest announcement of a daemon wins, whichever way it came, so the order and the
 //! number of copies do not matter.
 
 use std::time::Duration;
@@ -12,10 +12,10 @@
 
 use crate::wire::Member;
 
-/// A member and when its word arrived here.
+/// A member and when its announcement arrived here.
 #[derive(Debug, Clone)]
 pub struct Entry {
-    /// The daemon's newest word about itself.
+    /// The daemon's newest announcement.
     pub member: Member,
     /// When it arrived.
     pub since: Instant,
@@ -31,7 +31,7 @@
     }
 }
 
-/// What a word about a member changed.
+/// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Merge {
     /// It was newer.
@@ -51,7 +51,7 @@
 }
 
 impl Directory {
-    /// Takes in a word of a daemon about itself.
+    /// Takes in the announcement of a daemon.
     pub fn merge(&mut self, member: Member, now: Instant) -> Merge {
         let order = |member: &Member| (member.incarnation, member.revision);
         if let Some(known) = self.members.get(&member.daemon)
@@ -102,7 +102,7 @@
         }
     }
 
-    /// A hash of the newest words of all members, whatever the order in which they came.
+    /// A hash of the newest announcements of all members, whatever the order in which they came.
     #[must_use]
     pub fn digest(&self) -> u64 {
         self.digest
--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -53,7 +53,7 @@
     None,
     /// Another incarnation, or another phase of the same one.
     Told,
-    /// The word is older than what is known, or does not fit this place.
+    /// The heartbeat is older than what is known, or does not fit this place.
     Ignored,
 }
 
@@ -90,7 +90,7 @@
         if heartbeat.sequence <= old.sequence {
             return Change::Ignored;
         }
-        // Draining is final for an incarnation; a ready word that comes after it crossed it.
+        // Draining is final for an incarnation; a ready heartbeat that comes after it crossed it.
         let is_told = known.is_unreachable
             || (old.phase == Phase::Ready && heartbeat.phase == Phase::Draining)
             || old.slots != heartbeat.slots
--- a/crates/mesh/src/leads.rs
+++ b/crates/mesh/src/leads.rs
@@ -36,14 +36,14 @@
     core_permille.min(link_mbps.saturating_mul(2))
 }
 
-/// A daemon's word that it leads its zone.
+/// A daemon's claim to lead its zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// Its zone.
     pub zone: ZoneName,
     /// What it can carry.
     pub strength: Strength,
-    /// Hash of the members that it knows; unlike hashes show that a word was lost.
+    /// Hash of the members that it knows; unlike hashes show that an announcement was lost.
     pub members: u64,
 }
 
@@ -64,7 +64,7 @@
     unlike: u32,
 }
 
-/// Claims in a row with unlike members after which they are fetched: words that are on their way
+/// Claims in a row with unlike members after which they are fetched: announcements that are on their way
 /// arrive within one round.
 const UNLIKE_CLAIMS: u32 = 3;
 
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Notes a claim. Says whether the members should be fetched from its daemon, since words about
+    /// Notes a claim. Says whether the members should be fetched from its daemon, since announcements of
     /// them were lost; `members` is the hash of those known here.
     pub fn claimed(&mut self, daemon: &DaemonId, claim: Claim, members: u64, now: Instant) -> bool {
         let is_unlike = claim.zone == self.zone && claim.members != members;
--- a/crates/mesh/src/retries.rs
+++ b/crates/mesh/src/retries.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform bounds the repeats of all daemons together in any window. Each daemon spends a
 //! ratio of its own requests, and an equal part of what is allowed on top, so the sum keeps the
-//! bound without a word between daemons.
+//! bound without a message between daemons.
 
 use std::time::Instant;
 
--- a/crates/mesh/src/tests/directory.rs
+++ b/crates/mesh/src/tests/directory.rs
@@ -13,7 +13,7 @@
 
 const SERVICES: [&str; 3] = ["bookings", "catalogue", "payments"];
 
-/// A word of one of a few daemons, some of which share an address.
+/// An announcement of one of a few daemons, some of which share an address.
 fn member(seed: u32) -> Member {
     let part = |by: u32, of: u32| seed / by % of;
     let has_instance = part(100, 4) > 0;
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -86,11 +86,11 @@
 #[test]
 fn the_newest_word_of_a_daemon_wins_in_any_order() {
     let now = Instant::now();
-    let words = [(1, 1), (1, 2), (2, 1)];
+    let starts = [(1, 1), (1, 2), (2, 1)];
     for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]] {
         let mut directory = Directory::default();
         for index in order {
-            let (incarnation, revision) = words[index];
+            let (incarnation, revision) = starts[index];
             directory.merge(member("a", incarnation, revision, 1), now);
         }
         let known = directory.get("a").expect("merged").member.incarnation;
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -213,7 +213,7 @@
     assert_eq!(moves.versions("catalogue", 60), Versions::Not(&target));
     assert!(moves.merge(record(1, Stage::RolledBack)));
     assert_eq!(moves.versions("catalogue", 0), Versions::Not(&target));
-    // Older words change nothing; a later order does.
+    // Older records change nothing; a later order does.
     assert!(!moves.merge(record(1, Stage::Sharing(1000))));
     assert!(moves.merge(record(2, Stage::Sharing(0))));
     assert_eq!(moves.versions("catalogue", 0), Versions::Not(&target));
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -55,7 +55,7 @@
     pub version: VersionName,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Time that it stayed slow from the moment of this word.
+    /// Time that it stayed slow from the moment of this announcement.
     pub cold_left: Duration,
 }
 
@@ -113,7 +113,7 @@
     pub failures: u16,
     /// Configuration in force at the gate.
     pub config: ConfigVersion,
-    /// The gate's word about itself, where the caller side has an older one.
+    /// The announcement of the gate's daemon, where the caller side has an older one.
     pub member: Option<Member>,
 }
 
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -78,14 +78,14 @@
 }
 
 impl Node {
-    /// This daemon's word about itself, once there is one.
+    /// This daemon's announcement, once there is one.
     pub fn own_member(&self) -> Option<Member> {
         let name = self.name();
         let directory = self.directory.borrow();
         directory.get(&name).map(|entry| entry.member.clone())
     }
 
-    /// Makes a new word about this daemon when something changed.
+    /// Makes a new announcement of this daemon when something changed.
     pub fn refresh_own_member(&self) {
         let known = self.own_member();
         let revision = known.as_ref().map_or(0, |member| member.revision);
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -35,7 +35,7 @@
 /// How often a daemon that follows looks whether it has to lead; a tenth of the life of a claim.
 const ROLE_EVERY: Duration = Duration::from_millis(100);
 
-/// Pause after news of members, so that words that come together are read together; meanwhile gossip
+/// Pause after news of members, so that announcements that come together are read together; meanwhile gossip
 /// carries them.
 const GATHER_MEMBERS: Duration = Duration::from_millis(700);
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// This daemon's word about itself, for a caller that has an older one.
+    /// This daemon's announcement, for a caller that has an older one.
     fn correction(&self, reason: NotRunReason) -> Option<Member> {
         match reason {
             NotRunReason::Leaving | NotRunReason::WrongVersion | NotRunReason::Unreachable => {
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -69,8 +69,8 @@
 
 type Key = u64;
 
-/// A word that a waiting request gets.
-enum Word {
+/// What becomes of a waiting request.
+enum Decision {
     Run,
     Refused(NotRun),
 }
@@ -78,7 +78,7 @@
 /// Admission to the instance and the connections to it.
 pub struct GateTask {
     gate: RefCell<Gate<Key>>,
-    waiting: RefCell<FastMap<Key, oneshot::Sender<Word>>>,
+    waiting: RefCell<FastMap<Key, oneshot::Sender<Decision>>>,
     /// Started, but not yet told so.
     granted: RefCell<FastSet<Key>>,
     last_key: Cell<Key>,
@@ -167,7 +167,7 @@
     pub fn refuse_waiting(&self) {
         let refused = self.gate.borrow_mut().refuse_waiting(NotRunReason::Leaving);
         for (key, not_run) in refused {
-            self.tell(key, Word::Refused(not_run));
+            self.tell(key, Decision::Refused(not_run));
         }
     }
 
@@ -178,21 +178,21 @@
             match next {
                 Next::Run(key) => {
                     self.granted.borrow_mut().insert(key);
-                    if !self.tell(key, Word::Run) && self.granted.borrow_mut().remove(&key) {
+                    if !self.tell(key, Decision::Run) && self.granted.borrow_mut().remove(&key) {
                         self.gate.borrow_mut().released();
                     }
                 }
                 Next::Refuse(key, not_run) => {
-                    self.tell(key, Word::Refused(not_run));
+                    self.tell(key, Decision::Refused(not_run));
                 }
                 Next::Idle => return,
             }
         }
     }
 
-    fn tell(&self, key: Key, word: Word) -> bool {
+    fn tell(&self, key: Key, decision: Decision) -> bool {
         let tx = self.waiting.borrow_mut().remove(&key);
-        tx.is_some_and(|tx| tx.send(word).is_ok())
+        tx.is_some_and(|tx| tx.send(decision).is_ok())
     }
 
     /// What the present instance answered since it is warm.
@@ -380,7 +380,7 @@
         (!fits).then_some(NotRunReason::WrongVersion)
     }
 
-    /// A slot of the instance, after a wait where there is none; `None` when the word was lost.
+    /// A slot of the instance, after a wait where there is none; `None` when the decision was lost.
     async fn admit(
         &self,
         head: &GateHead,
@@ -414,18 +414,18 @@
             }
             Offer::Queued => {}
             Offer::QueuedInPlaceOf(other, not_run) => {
-                task.tell(other, Word::Refused(not_run));
+                task.tell(other, Decision::Refused(not_run));
             }
         }
         let (tx, rx) = oneshot::channel();
         task.waiting.borrow_mut().insert(key, tx);
         match rx.await {
-            Ok(Word::Run) => {
+            Ok(Decision::Run) => {
                 task.granted.borrow_mut().remove(&key);
                 slot.state = SlotState::Running;
                 Some(Ok(slot))
             }
-            Ok(Word::Refused(not_run)) => {
+            Ok(Decision::Refused(not_run)) => {
                 slot.state = SlotState::Over;
                 Some(Err(not_run))
             }
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Datagrams between daemons: words about members, loads, evidence and moves.
+//! Datagrams between daemons: announcements of members, loads, evidence and moves.
 //!
 //! They carry news while the store is away or turns some machines away, and tell that a daemon
 //! still lives.
@@ -26,7 +26,7 @@
 /// How often a daemon that leads its zone looks for news to tell at once: a fifth of a round.
 const LEAD_EVERY: Duration = Duration::from_millis(50);
 
-/// Time between two words of evidence to the controller of a move, which is what a bad version
+/// Time between two messages of evidence to the controller of a move, which is what a bad version
 /// costs at least.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(100);
 
@@ -154,7 +154,7 @@
         self.send_gossip(&question, [address]).await;
     }
 
-    /// Tells all members of this daemon's newest word about itself.
+    /// Sends this daemon's announcement to all members.
     pub async fn tell_all(&self) {
         let addresses = self.addresses(|_| true);
         self.send_gossip(&self.gossip(Vec::new()), addresses).await;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -72,7 +72,7 @@
     /// Daemon that knows members that this one does not.
     pub members_from: Cell<Option<SocketAddr>>,
     pub leads: RefCell<Leads>,
-    /// Words about members that the store told, for the daemons of the zone.
+    /// Announcements that came from the store, for the daemons of the zone.
     pub member_news: RefCell<Vec<Member>>,
     pub local: RefCell<LocalInstance>,
     pub directory: RefCell<Directory>,
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Takes in a word of a daemon about itself; `source` says which way it came.
+    /// Takes in the announcement of a daemon; `source` says which way it came.
     pub fn learn_member(&self, member: Member, source: &'static str) -> Merge {
         if member.daemon == self.name() {
             self.outrun(&member);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -56,7 +56,7 @@
 /// more clients after two misses.
 const LINGER: Duration = Duration::from_millis(2500);
 
-/// Time between the word to other daemons and the end of listening; some rounds of gossip. Until
+/// Time between the announcement to other daemons and the end of listening; some rounds of gossip. Until
 /// then the instance is served, since a restart takes it away from all.
 const FAREWELL: Duration = Duration::from_millis(500);
 
