--- a/cli/src/explain/lines.rs
+++ b/cli/src/explain/lines.rs
@@ -32,6 +32,15 @@
         self.fields.get(field).and_then(Value::as_u64)
     }
 
+    /// A field for people; a question mark where it is missing.
+    pub fn shown(&self, field: &str) -> String {
+        match self.fields.get(field) {
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => "?".to_owned(),
+        }
+    }
+
     /// Whether a field names this daemon, alone or in a list.
     pub fn names(&self, field: &str, daemon: &str) -> bool {
         match self.fields.get(field) {
--- a/cli/src/explain/story.rs
+++ b/cli/src/explain/story.rs
@@ -108,16 +108,16 @@
         Some(line) if line.event == "gate-refused" => format!(
             "; the gate of {} refused it as {} with {} of {} slots taken and {} waiting",
             line.daemon,
-            line.text("reason"),
-            line.number("running").unwrap_or(0),
-            line.number("slots").unwrap_or(0),
-            line.number("queued").unwrap_or(0),
+            line.shown("reason"),
+            line.shown("running"),
+            line.shown("slots"),
+            line.shown("queued"),
         ),
         Some(line) => format!(
             "; at {} no whole answer of {} came: {}",
             line.daemon,
-            line.text("instance"),
-            line.text("reason"),
+            line.shown("instance"),
+            line.shown("reason"),
         ),
         None => String::new(),
     };
@@ -130,31 +130,31 @@
             "; its call {} ended as {} ({})",
             line.text("request"),
             line.event,
-            line.text("reason")
+            line.shown("reason")
         )
     });
     let told = match end.event.as_str() {
         "answered" => format!(
             "answered with status {} by the instance beside {}",
-            end.number("status").unwrap_or(0),
-            end.text("daemon"),
+            end.shown("status"),
+            end.shown("daemon"),
         ),
         "refused" => format!(
             "refused as not run ({}), to come back after {} ms",
-            end.text("reason"),
-            end.number("retry_after_ms").unwrap_or(0),
+            end.shown("reason"),
+            end.shown("retry_after_ms"),
         ),
         "outcome-unknown" => format!(
             "outcome unknown at {}: {}",
-            end.text("daemon"),
-            end.text("reason"),
+            end.shown("daemon"),
+            end.shown("reason"),
         ),
-        "timed-out" => format!("its {} ms were over", end.number("left_ms").unwrap_or(0)),
+        "timed-out" => format!("its {} ms were over", end.shown("left_ms")),
         "no-route" => format!(
             "no route for {}{} in configuration {}",
-            end.text("host"),
-            end.text("path"),
-            end.number("config").unwrap_or(0),
+            end.shown("host"),
+            end.shown("path"),
+            end.shown("config"),
         ),
         other => other.to_owned(),
     };
@@ -200,11 +200,11 @@
         Some(line) => format!(
             "last decision by {}: {} of {}, verdict {}, {} of {} ms after the order",
             line.daemon,
-            line.text("stage"),
-            line.text("target"),
-            line.text("verdict"),
-            line.number("elapsed_ms").unwrap_or(0),
-            line.number("within_ms").unwrap_or(0),
+            line.shown("stage"),
+            line.shown("target"),
+            line.shown("verdict"),
+            line.shown("elapsed_ms"),
+            line.shown("within_ms"),
         ),
         None => "no daemon decided on a move of it".to_owned(),
     };
