Serve routes of a kind that this release does not know

A kind other than `idempotent` now runs at most once; one that is neither of the three known kinds is named by one log line and a counter. A kind that is missing or not text is rejected with its configuration as before.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -27,6 +27,17 @@
     pub services: FastSet<ServiceName>,
     /// Limits on requests and connections of clients.
     pub limits: ClientLimits,
+    /// Kinds of request that this release does not know, each once.
+    pub unknown_kinds: Vec<UnknownKind>,
+}
+
+/// A kind of request that this release does not know. Its requests run at most once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownKind {
+    /// Kind as the operator wrote it.
+    pub kind: SmolStr,
+    /// First route of that kind, by name.
+    pub route: RouteName,
 }
 
 /// Maps a host and a path prefix to services.
--- a/crates/mesh/src/tests/table.rs
+++ b/crates/mesh/src/tests/table.rs
@@ -47,6 +47,7 @@
             head_timeout: Duration::from_secs(3),
             keep_alive_timeout: Duration::from_secs(15),
         },
+        unknown_kinds: Vec::new(),
     }
 }
 
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -156,6 +156,7 @@
     call_time: Histogram<f64>,
     added_time: Histogram<f64>,
     attempts_not_run: Counter<u64>,
+    unknown_kinds: Counter<u64>,
     control_bytes: Counter<u64>,
     log_requests: Counter<u64>,
     convergence: Histogram<f64>,
@@ -187,6 +188,7 @@
             call_time: seconds_histogram(&meter, "bronzehead_call", &CALL_BOUNDS_SECONDS),
             added_time: seconds_histogram(&meter, "bronzehead_call_added", &ADDED_BOUNDS_SECONDS),
             attempts_not_run: counter(&meter, "bronzehead_attempts_not_run", ""),
+            unknown_kinds: counter(&meter, "bronzehead_route_kinds_unknown", ""),
             control_bytes: counter(&meter, "bronzehead_control", "By"),
             log_requests: counter(&meter, "bronzehead_log_requests", ""),
             convergence: seconds_histogram(
@@ -228,6 +230,11 @@
             .add(1, &[static_label("reason", reason)]);
     }
 
+    /// Counts a kind of request in an adopted configuration that this release does not know.
+    pub fn record_unknown_kind(&self) {
+        self.unknown_kinds.add(1, &[]);
+    }
+
     /// Counts bytes of control-plane traffic.
     pub fn record_control_bytes(&self, purpose: Purpose, direction: Direction, bytes: u64) {
         let purpose = static_label("purpose", purpose.label());
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -24,6 +24,7 @@
 use mesh::balancer::BalancerCfg;
 use mesh::balancer::RandomPair;
 use mesh::canary::CanaryAnalysis;
+use mesh::config::UnknownKind;
 use mesh::directory::Entry;
 use mesh::directory::Merge;
 use mesh::election::Claim;
@@ -217,6 +218,13 @@
                     "source": source,
                 })
             });
+            for UnknownKind { kind, route } in &cfg.unknown_kinds {
+                self.metrics.record_unknown_kind();
+                self.log_state(
+                    "route-kind-unknown",
+                    || json!({ "version": cfg.version, "kind": kind, "route": route }),
+                );
+            }
         }
     }
 
