--- a/crates/mesh/src/balancer.rs
+++ b/crates/mesh/src/balancer.rs
@@ -1,12 +1,13 @@
 //! Load balancing: chooses the instance for a request.
 //!
 //! Handles instances of different speed, slow, cold and failing ones, and avoids herding of callers
-//! on the same idle instance. The cost of an instance is its utilization: the last reported load
-//! and the requests sent since, relative to its slots, times its latency relative to the other
-//! instances, plus a penalty for a failure rate above theirs. The local availability zone is
-//! preferred until its least utilized instance is nearly full. Otherwise the better of two random
-//! instances is chosen (power of two choices), so that callers with the same information spread
-//! their requests.
+//! on the same idle instance. The cost of an instance is the latency expected there, relative to the
+//! other instances: its measured latency, times a wait that grows as its slots fill up, plus a
+//! penalty for a failure rate above theirs. Load, failures and latency are measured by the daemon
+//! beside the instance and reported to all callers, because in a fleet of hundreds each caller sends
+//! an instance a few requests a minute. The local availability zone is preferred while one of a few
+//! random instances there has an acceptable cost. Otherwise the better of two random instances is
+//! chosen (power of two choices), so that callers with the same information spread their requests.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -15,33 +16,39 @@
 use base::FastMap;
 use base::UnixMillis;
 use base::ZoneName;
-use protocol::call::Load;
 
 use crate::config::RouteName;
 use crate::directory::Entry;
 use crate::health::Health;
 use crate::health::decay_factor;
+use crate::wire::LoadReport;
 
 /// Parameters of the load balancer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalancerCfg {
     /// A reported load older than this is ignored.
     pub load_max_age: Duration,
-    /// The local zone is preferred while its least utilized instance is below this utilization.
-    pub local_zone_max_utilization: f64,
-    /// Factor on the utilization of instances in the local zone, since requests to other zones take
-    /// longer.
+    /// The local zone is preferred while its best instance costs less.
+    pub local_zone_max_cost: f64,
+    /// Factor on the cost of instances in the local zone, since requests to other zones take longer.
     pub local_zone_factor: f64,
     /// Weight of the latest answer in the moving average of the relative latency.
     pub latency_smoothing: f64,
-    /// Utilization added at a failure rate of 1; applies to the part of the rate above both that of
-    /// the best candidate and the tolerated rate.
+    /// Cost added at a failure rate of 1; applies to the part of the rate above both that of the
+    /// best candidate and the tolerated rate.
     pub failure_penalty: f64,
     /// Failure rate without penalty: calls that an instance makes for its requests fail
     /// occasionally.
     pub tolerated_failure_rate: f64,
-    /// Factor on the capacity of an instance that is still cold after its start.
-    pub cold_capacity_factor: f64,
+    /// Factor on the latency of an instance that is still cold after its start.
+    pub cold_latency_factor: f64,
+    /// Latency that an instance gains from empty to full, relative to its latency when empty.
+    pub slowdown_when_full: f64,
+    /// Utilization above which requests wait for a slot now and then.
+    pub wait_above: f64,
+    /// Expected wait at full utilization, in service times; grows with the square of the part of the
+    /// utilization above [`Self::wait_above`].
+    pub wait_when_full: f64,
     /// First pause after an instance could not be reached; doubles with each further failure.
     pub first_pause: Duration,
     /// Longest pause after an instance could not be reached.
@@ -53,17 +60,20 @@
         Self {
             // A busy instance replies many times a second.
             load_max_age: Duration::from_secs(1),
-            // Leaves a tenth of the slots for bursts within a round trip.
-            local_zone_max_utilization: 0.9,
+            // An instance of mean latency is full there.
+            local_zone_max_cost: 3.0,
             // A request to another zone takes some milliseconds more, a few percent of its latency.
             local_zone_factor: 0.75,
             // Averages over the last ten answers, about a second of one caller.
             latency_smoothing: 0.1,
             // An idle instance that failed one of its last five requests counts as nearly full.
-            failure_penalty: 8.0,
+            failure_penalty: 16.0,
             tolerated_failure_rate: 0.1,
             // The platform's instances take twice as long while cold.
-            cold_capacity_factor: 0.5,
+            cold_latency_factor: 2.0,
+            slowdown_when_full: 0.2,
+            wait_above: 0.6,
+            wait_when_full: 2.0,
             // The first is about the restart time of a daemon, the longest that of a machine.
             first_pause: Duration::from_millis(300),
             max_pause: Duration::from_secs(3),
@@ -76,9 +86,7 @@
 struct InstanceStats {
     born: UnixMillis,
     in_flight: u32,
-    reported_load: Option<(Load, Instant)>,
-    /// Failure rate that the instance's daemon reported, and when.
-    reported_failures: Option<(f64, Instant)>,
+    reported: Option<Reported>,
     /// Requests sent since the load was reported.
     sent_since: u32,
     relative_latency: f64,
@@ -88,6 +96,23 @@
     paused_until: Option<Instant>,
 }
 
+/// The last report of an instance's daemon.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    report: LoadReport,
+    at: Instant,
+    source: ReportSource,
+}
+
+/// How a report of an instance's daemon arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportSource {
+    /// From that daemon.
+    Direct,
+    /// From another daemon, which had it from that daemon.
+    Relayed,
+}
+
 /// What the end of an attempt shows about the instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Observation {
@@ -123,6 +148,16 @@
 /// answers of all instances.
 const ROUTE_LATENCY_SMOOTHING: f64 = 0.02;
 
+/// Number of random instances of the local zone that a choice compares. More would send all callers
+/// that have the same reports to the same instance.
+const LOCAL_SAMPLE: u64 = 3;
+
+/// Time for which a direct report is preferred to relayed ones, which are older by a gossip round.
+const DIRECT_PREFERENCE: Duration = Duration::from_millis(250);
+
+/// Time after which a reported latency is ignored; it changes slowly.
+const LATENCY_MAX_AGE: Duration = Duration::from_secs(10);
+
 /// Latencies below this, in milliseconds, are compared as this value.
 const MIN_LATENCY_MS: f64 = 0.1;
 
@@ -166,24 +201,19 @@
             .map(|entry| self.failure_rate(entry, now))
             .fold(1.0, f64::min);
         let accepted_rate = lowest_rate.max(self.cfg.tolerated_failure_rate);
-        let utilization_of = |entry: &Entry| {
-            let excess_rate = (self.failure_rate(entry, now) - accepted_rate).max(0.0);
-            self.base_utilization(entry, now) + self.cfg.failure_penalty * excess_rate
-        };
-        let least_utilized_local = reachable
-            .iter()
-            .copied()
-            .filter(|entry| entry.member.zone == self.zone)
-            .map(|entry| (entry, utilization_of(entry)))
+        let cost_of = |entry: &Entry| self.cost(entry, accepted_rate, now);
+        let best_local = self
+            .sample_local(&reachable, random_pair)
+            .map(|entry| (entry, cost_of(entry)))
             .min_by(|a, b| a.1.total_cmp(&b.1));
-        if let Some((local, local_utilization)) = least_utilized_local
-            && local_utilization < self.cfg.local_zone_max_utilization
+        if let Some((local, local_cost)) = best_local
+            && local_cost < self.cfg.local_zone_max_cost
         {
             return Some(local);
         }
-        let cost = |entry: &Entry| {
+        let zone_cost = |entry: &Entry| {
             let is_local = entry.member.zone == self.zone;
-            utilization_of(entry)
+            cost_of(entry)
                 * if is_local {
                     self.cfg.local_zone_factor
                 } else {
@@ -195,11 +225,36 @@
         [
             Some(first_choice),
             Some(second_choice),
-            least_utilized_local.map(|local| local.0),
+            best_local.map(|local| local.0),
         ]
         .into_iter()
         .flatten()
-        .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        .min_by(|a, b| zone_cost(a).total_cmp(&zone_cost(b)))
+    }
+
+    /// Returns up to [`LOCAL_SAMPLE`] random instances of the local zone, each once.
+    fn sample_local<'a>(
+        &self,
+        reachable: &[&'a Entry],
+        random_pair: RandomPair,
+    ) -> impl Iterator<Item = &'a Entry> {
+        let mut local: Vec<&Entry> = reachable
+            .iter()
+            .copied()
+            .filter(|entry| entry.member.zone == self.zone)
+            .collect();
+        let mut sample = Vec::new();
+        for round in 0..LOCAL_SAMPLE {
+            let random = base::hash::stable(&[
+                &random_pair.0.to_be_bytes(),
+                &random_pair.1.to_be_bytes(),
+                &round.to_be_bytes(),
+            ]);
+            if let Some(index) = index_of(local.len(), random) {
+                sample.push(local.swap_remove(index));
+            }
+        }
+        sample.into_iter()
     }
 
     /// Returns the recent failure rate of an instance: the higher of the one that its daemon
@@ -208,36 +263,65 @@
         let Some(stats) = self.current_stats(entry) else {
             return 0.0;
         };
-        let reported_rate = match stats.reported_failures {
-            Some((rate, at)) => rate * decay_factor(now.saturating_duration_since(at)),
-            None => 0.0,
-        };
+        let reported_rate = stats.reported.map_or(0.0, |reported| {
+            let rate = f64::from(reported.report.failures_permille) / 1e3;
+            rate * decay_factor(now.saturating_duration_since(reported.at))
+        });
         reported_rate.max(stats.health.failure_rate(now))
     }
 
-    /// Returns the utilization of the instance including the next request and the failure penalty.
+    /// Returns the cost of the next request to an instance: 1 is the mean latency of an idle one.
+    /// Failures count above `accepted_rate`.
     #[must_use]
-    pub fn utilization(&self, entry: &Entry, now: Instant) -> f64 {
-        self.base_utilization(entry, now) + self.cfg.failure_penalty * self.failure_rate(entry, now)
+    pub fn cost(&self, entry: &Entry, accepted_rate: f64, now: Instant) -> f64 {
+        let excess_rate = (self.failure_rate(entry, now) - accepted_rate).max(0.0);
+        let utilization = self.utilization(entry, now);
+        let excess_utilization = (utilization - self.cfg.wait_above).max(0.0);
+        let wait =
+            self.cfg.wait_when_full * (excess_utilization / (1.0 - self.cfg.wait_above)).powi(2);
+        let slowdown = self.cfg.slowdown_when_full * utilization;
+        self.relative_latency(entry, now) * (1.0 + slowdown + wait)
+            + self.cfg.failure_penalty * excess_rate
     }
 
-    fn base_utilization(&self, entry: &Entry, now: Instant) -> f64 {
+    /// Returns the part of the slots that is in use, including the next request.
+    fn utilization(&self, entry: &Entry, now: Instant) -> f64 {
         let slots = entry.member.instance.as_ref().map_or(1, |info| info.slots);
-        let mut capacity = f64::from(slots.max(1));
-        if !entry.cold_left(now).is_zero() {
-            capacity *= self.cfg.cold_capacity_factor;
-        }
+        let slots = f64::from(slots.max(1));
         let Some(stats) = self.current_stats(entry) else {
-            return 1.0 / capacity;
+            return 1.0 / slots;
         };
-        let reported_load = match stats.reported_load {
-            Some((load, at)) if now.saturating_duration_since(at) <= self.cfg.load_max_age => {
-                load.running + load.queued + stats.sent_since
+        let reported_load = match stats.reported {
+            Some(Reported { report, at, .. })
+                if now.saturating_duration_since(at) <= self.cfg.load_max_age =>
+            {
+                report.load.running + report.load.queued + stats.sent_since
             }
             _ => 0,
         };
-        let requests = f64::from(reported_load.max(stats.in_flight) + 1);
-        requests * stats.relative_latency / capacity
+        f64::from(reported_load.max(stats.in_flight) + 1) / slots
+    }
+
+    /// Returns the latency of an instance relative to the others: as its daemon measured it, or else
+    /// as this daemon did.
+    fn relative_latency(&self, entry: &Entry, now: Instant) -> f64 {
+        let cold_factor = if entry.cold_left(now).is_zero() {
+            1.0
+        } else {
+            self.cfg.cold_latency_factor
+        };
+        let Some(stats) = self.current_stats(entry) else {
+            return cold_factor;
+        };
+        let measured = stats.reported.and_then(|reported| {
+            let is_recent = now.saturating_duration_since(reported.at) <= LATENCY_MAX_AGE;
+            let permille = reported.report.latency_permille;
+            (is_recent && permille > 0).then(|| f64::from(permille) / 1e3)
+        });
+        measured
+            .unwrap_or(stats.relative_latency)
+            .clamp(RELATIVE_LATENCY_BOUNDS.0, RELATIVE_LATENCY_BOUNDS.1)
+            * cold_factor
     }
 
     /// Records that a request is sent to an instance.
@@ -290,14 +374,52 @@
         }
     }
 
-    /// Records the load and the failure rate, in thousandths, that an instance's daemon reported.
-    pub fn record_load(&mut self, entry: &Entry, load: Load, failures_permille: u16, now: Instant) {
+    /// Records the state that an instance's daemon reported.
+    pub fn record_report(
+        &mut self,
+        entry: &Entry,
+        report: LoadReport,
+        source: ReportSource,
+        now: Instant,
+    ) {
         let stats = self.stats_mut(entry);
-        stats.reported_load = Some((load, now));
-        stats.reported_failures = Some((f64::from(failures_permille) / 1e3, now));
+        let is_outdated = source == ReportSource::Relayed
+            && stats.reported.is_some_and(|known| {
+                known.source == ReportSource::Direct
+                    && now.saturating_duration_since(known.at) < DIRECT_PREFERENCE
+            });
+        if is_outdated {
+            return;
+        }
+        stats.reported = Some(Reported {
+            report,
+            at: now,
+            source,
+        });
         stats.sent_since = 0;
     }
 
+    /// Returns the last report of a daemon if it came directly, within `max_age`.
+    #[must_use]
+    pub fn direct_report(
+        &self,
+        daemon: &str,
+        max_age: Duration,
+        now: Instant,
+    ) -> Option<LoadReport> {
+        let reported = self.stats.get(daemon)?.reported?;
+        let is_usable = reported.source == ReportSource::Direct
+            && now.saturating_duration_since(reported.at) <= max_age;
+        is_usable.then_some(reported.report)
+    }
+
+    /// Returns the mean latency of a route over all instances, as this daemon measured it.
+    #[must_use]
+    pub fn mean_latency(&self, route: &RouteName) -> Option<Duration> {
+        let ms = self.route_ms.get(route)?;
+        Some(Duration::from_secs_f64(ms / 1e3))
+    }
+
     /// Ends the pause of a daemon from which a message arrived.
     pub fn mark_reachable(&mut self, daemon: &str) {
         if let Some(stats) = self.stats.get_mut(daemon) {
@@ -342,8 +464,7 @@
         Self {
             born,
             in_flight: 0,
-            reported_load: None,
-            reported_failures: None,
+            reported: None,
             sent_since: 0,
             relative_latency: 1.0,
             health: Health::default(),
@@ -354,7 +475,11 @@
 }
 
 fn pick<T>(pool: &[T], random: u64) -> Option<&T> {
-    let len = u64::try_from(pool.len()).ok()?;
-    let index = random.checked_rem(len)?;
-    pool.get(usize::try_from(index).ok()?)
+    pool.get(index_of(pool.len(), random)?)
+}
+
+/// Returns a random index into a list of this length; `None` if it is empty.
+fn index_of(len: usize, random: u64) -> Option<usize> {
+    let index = random.checked_rem(u64::try_from(len).ok()?)?;
+    usize::try_from(index).ok()
 }
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -3,13 +3,17 @@
 //! The newest announcement of a daemon wins, by incarnation and revision, so that reordered and
 //! duplicate announcements have no effect.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::DaemonId;
 use base::FastMap;
 use base::ServiceName;
+use base::ZoneName;
 
+use crate::election::LEADERS_PER_ZONE;
+use crate::election::Strength;
 use crate::wire::Member;
 
 /// A member and the arrival time of its announcement.
@@ -54,9 +58,8 @@
 impl Directory {
     /// Merges the announcement of a daemon.
     pub fn merge(&mut self, member: Member, now: Instant) -> Merge {
-        let revision_of = |member: &Member| (member.incarnation, member.revision);
         if let Some(known) = self.members.get(&member.daemon)
-            && revision_of(&known.member) >= revision_of(&member)
+            && known.member.full_revision() >= member.full_revision()
         {
             return Merge::Known;
         }
@@ -135,6 +138,19 @@
         self.members.get(daemon)
     }
 
+    /// Whether this member is to lead its zone by the announced strengths, before any claims arrive.
+    #[must_use]
+    pub fn is_expected_leader(&self, daemon: &DaemonId, zone: &ZoneName, own: Strength) -> bool {
+        let precedes =
+            |member: &Member| (Reverse(member.strength), &member.daemon) < (Reverse(own), daemon);
+        let preceding = self
+            .entries()
+            .map(|entry| &entry.member)
+            .filter(|member| member.zone == *zone && member.daemon != *daemon && precedes(member))
+            .take(LEADERS_PER_ZONE);
+        preceding.count() < LEADERS_PER_ZONE
+    }
+
     /// Returns the number of known members.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/mesh/src/election.rs
+++ b/crates/mesh/src/election.rs
@@ -171,6 +171,28 @@
         }
     }
 
+    /// Whether another daemon of the zone claims leadership.
+    #[must_use]
+    pub fn has_other_leader(&self, now: Instant) -> bool {
+        self.claims(now).any(|(_, claim)| claim.zone == self.zone)
+    }
+
+    /// Whether this daemon is the first leader of its zone, which writes to the store for it.
+    #[must_use]
+    pub fn is_first_leader(&self, now: Instant) -> bool {
+        let is_preceded = self
+            .claims(now)
+            .any(|claim| claim.1.zone == self.zone && self.precedes_own(&claim));
+        !is_preceded && !self.is_store_failing(now)
+    }
+
+    /// Returns the other leaders of the zone.
+    pub fn zone_leaders(&self, now: Instant) -> impl Iterator<Item = &DaemonId> {
+        self.claims(now)
+            .filter(|(_, claim)| claim.zone == self.zone)
+            .map(|(daemon, _)| daemon)
+    }
+
     /// Returns the leader of the whole fleet, the first of all zone leaders, which decides on
     /// moves. `None` if that is this daemon, or if this daemon is a follower and knows no claim.
     #[must_use]
--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -8,6 +8,8 @@
 use base::VersionName;
 use smol_str::SmolStr;
 
+use crate::wire::InstanceInfo;
+
 /// Identifier that an instance assigns to itself.
 pub type InstanceId = SmolStr;
 
@@ -113,6 +115,28 @@
         }
     }
 
+    /// Takes an instance over from the announcement of an earlier process of this daemon, until the
+    /// instance sends a heartbeat. Only its id is trusted: another instance at the same address
+    /// rejects requests that name it.
+    pub fn restore(&mut self, info: &InstanceInfo, address: SmolStr, now: Instant) -> Change {
+        if self.current.is_some() {
+            return Change::Ignored;
+        }
+        let heartbeat = Heartbeat {
+            id: info.id.clone(),
+            born: info.born,
+            sequence: 0,
+            service: info.service.clone(),
+            version: info.version.clone(),
+            address,
+            slots: info.slots,
+            phase: Phase::Ready,
+            cold_left: Duration::ZERO,
+        };
+        self.current = Some(InstanceState::new(heartbeat, now));
+        Change::Told
+    }
+
     /// Records that the instance deregistered itself.
     pub fn mark_left(&mut self, id: &str) -> Change {
         match &mut self.current {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod evidence;
 pub mod health;
 pub mod instance;
+pub mod latency;
 pub mod moves;
 pub mod retry_budgets;
+pub mod stored_members;
 pub mod table;
 pub mod wire;
 
@@ -26,6 +28,7 @@
 pub use directory::Directory;
 pub use election::LeaderElection;
 pub use instance::LocalInstance;
+pub use stored_members::StoredMembers;
 pub use table::RouteTable;
 
 #[cfg(test)]
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -6,4 +6,6 @@
 mod election;
 mod instance;
 mod moves;
+mod placement;
+mod stored_members;
 mod table;
--- a/crates/mesh/src/tests/balancer.rs
+++ b/crates/mesh/src/tests/balancer.rs
@@ -9,10 +9,12 @@
 use crate::balancer::BalancerCfg;
 use crate::balancer::Observation;
 use crate::balancer::RandomPair;
+use crate::balancer::ReportSource;
 use crate::directory::Entry;
 use crate::health::Alarm;
 use crate::health::Health;
 use crate::wire::InstanceInfo;
+use crate::wire::LoadReport;
 use crate::wire::Member;
 
 fn entry(daemon: &str, zone: &str, cold_left: Duration, now: Instant) -> Entry {
@@ -32,16 +34,21 @@
                 cold_left,
             }),
             is_open: true,
+            strength: 1,
         },
         received_at: now,
     }
 }
 
-fn load(running: u32) -> Load {
-    Load {
-        running,
-        queued: 0,
-        slots: 10,
+fn report(running: u32, failures_permille: u16) -> LoadReport {
+    LoadReport {
+        load: Load {
+            running,
+            queued: 0,
+            slots: 10,
+        },
+        failures_permille,
+        latency_permille: 0,
     }
 }
 
@@ -73,18 +80,18 @@
         choose_daemon(&balancer, &[&local, &remote], (1, 1), now),
         "local"
     );
-    balancer.record_load(&local, load(7), 0, now);
+    balancer.record_report(&local, report(7, 0), ReportSource::Direct, now);
     assert_eq!(
         choose_daemon(&balancer, &[&local, &remote], (1, 1), now),
         "local"
     );
-    balancer.record_load(&local, load(10), 0, now);
+    balancer.record_report(&local, report(10, 0), ReportSource::Direct, now);
     assert_eq!(
         choose_daemon(&balancer, &[&local, &remote], (1, 1), now),
         "remote"
     );
     // At equal utilization the local zone is preferred.
-    balancer.record_load(&remote, load(10), 0, now);
+    balancer.record_report(&remote, report(10, 0), ReportSource::Direct, now);
     assert_eq!(
         choose_daemon(&balancer, &[&local, &remote], (1, 1), now),
         "local"
@@ -97,8 +104,8 @@
     let one = entry("one", "nadi-a", Duration::ZERO, now);
     let other = entry("other", "nadi-a", Duration::ZERO, now);
     let mut balancer = balancer();
-    balancer.record_load(&one, load(0), 0, now);
-    balancer.record_load(&other, load(3), 0, now);
+    balancer.record_report(&one, report(0, 0), ReportSource::Direct, now);
+    balancer.record_report(&other, report(3, 0), ReportSource::Direct, now);
     for _ in 0..5 {
         balancer.attempt_started(&one);
     }
@@ -109,7 +116,7 @@
 }
 
 #[test]
-fn slow_cold_and_failing_instances_have_a_higher_utilization() {
+fn slow_cold_and_failing_instances_have_a_higher_cost() {
     let now = Instant::now();
     let normal = entry("normal", "nadi-a", Duration::ZERO, now);
     let check = |tested: Entry, observations: &[Observation]| {
@@ -123,7 +130,7 @@
             let good = Observation::Success(Duration::from_millis(50));
             balancer.attempt_ended(&normal, &"route".into(), good, now);
         }
-        assert!(balancer.utilization(&tested, now) > 1.5 * balancer.utilization(&normal, now));
+        assert!(balancer.cost(&tested, 0.0, now) > 1.5 * balancer.cost(&normal, 0.0, now));
     };
     let tested = || entry("tested", "nadi-a", Duration::ZERO, now);
     check(
@@ -194,10 +201,10 @@
         // A failing instance is always idle.
         let running = if is_failure { 0 } else { 5 };
         let failures = health[index].failures_permille(now);
-        caller.record_load(chosen, load(running), failures, now);
+        caller.record_report(chosen, report(running, failures), ReportSource::Direct, now);
         if is_failure && alarm.should_notify(failures) {
             for caller in &mut callers {
-                caller.record_load(chosen, load(running), failures, now);
+                caller.record_report(chosen, report(running, failures), ReportSource::Direct, now);
             }
         }
         let caller = &mut callers[number];
--- a/crates/mesh/src/tests/directory.rs
+++ b/crates/mesh/src/tests/directory.rs
@@ -32,6 +32,7 @@
             cold_left: Duration::ZERO,
         }),
         is_open: pick(211, 5) > 0,
+        strength: pick(3, 4),
     }
 }
 
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use smol_str::SmolStr;
+
 use crate::directory::Directory;
 use crate::directory::Merge;
 use crate::instance::Change;
 use crate::instance::Heartbeat;
 use crate::instance::LocalInstance;
 use crate::instance::Phase;
+use crate::wire::InstanceInfo;
 use crate::wire::Member;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
@@ -88,6 +91,7 @@
         zone: "suva-a".into(),
         instance: None,
         is_open: true,
+        strength: 1,
     }
 }
 
@@ -115,3 +119,35 @@
     assert!(directory.get("gone").is_none());
     assert_eq!(directory.len(), 1);
 }
+
+#[test]
+fn an_instance_is_taken_over_until_it_sends_a_heartbeat() {
+    let now = Instant::now();
+    let info = InstanceInfo {
+        id: "i-1".into(),
+        born: 10,
+        service: "bookings".into(),
+        version: "v1".into(),
+        slots: 4,
+        cold_left: Duration::ZERO,
+    };
+    let mut restored = LocalInstance::default();
+    let address: SmolStr = "10.0.0.1:8080".into();
+    assert_eq!(restored.restore(&info, address.clone(), now), Change::Told);
+    assert!(restored.serving(HEARTBEAT_INTERVAL, now).is_some());
+    // The first heartbeat of the instance counts, whatever its number.
+    let drains = restored.record_heartbeat(heartbeat(10, 1, Phase::Draining), now);
+    assert_eq!(drains, Change::Told);
+    assert!(restored.serving(HEARTBEAT_INTERVAL, now).is_none());
+
+    // What the instance says itself is not replaced.
+    let mut known = LocalInstance::default();
+    known.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
+    assert_eq!(known.restore(&info, address.clone(), now), Change::Ignored);
+
+    // Without a heartbeat the announcement loses its validity.
+    let mut silent = LocalInstance::default();
+    silent.restore(&info, address, now);
+    let later = now + HEARTBEAT_INTERVAL * 4;
+    assert!(silent.serving(HEARTBEAT_INTERVAL, later).is_none());
+}
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -20,9 +20,13 @@
 use crate::config::Rank;
 use crate::config::RouteName;
 use crate::election::Claim;
+use crate::election::Strength;
 use crate::instance::InstanceId;
 use crate::moves::MoveRecord;
 
+/// Incarnation of a daemon and the number of its announcement; a later one is higher.
+pub type Revision = (Incarnation, u64);
+
 /// Announcement of one daemon and the instance beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -40,6 +44,16 @@
     pub instance: Option<InstanceInfo>,
     /// Whether the daemon accepts requests from others; false while it stops.
     pub is_open: bool,
+    /// Capacity of the machine for leading its zone.
+    pub strength: Strength,
+}
+
+impl Member {
+    /// Returns the revision of this announcement.
+    #[must_use]
+    pub fn full_revision(&self) -> Revision {
+        (self.incarnation, self.revision)
+    }
 }
 
 /// An instance that accepts new requests.
@@ -107,10 +121,8 @@
 pub struct ForwardReply {
     /// Outcome of the request.
     pub outcome: ForwardOutcome,
-    /// Load of the instance at the time of the reply.
-    pub load: Load,
-    /// Recent failure rate of the instance, in thousandths.
-    pub failures: u16,
+    /// State of the instance at the time of the reply.
+    pub report: LoadReport,
     /// Version of the configuration in force at the replying daemon.
     pub config: ConfigVersion,
     /// Announcement of the replying daemon, if the caller side has an older one.
@@ -124,10 +136,8 @@
     pub members: Vec<Member>,
     /// Version of the configuration in force at the sender.
     pub config: ConfigVersion,
-    /// Load of the sender's instance.
-    pub load: Load,
-    /// Recent failure rate of the sender's instance, in thousandths.
-    pub failures: u16,
+    /// State of the sender's instance.
+    pub report: LoadReport,
     /// Evidence of the sender's instance while a move is in progress.
     pub evidence: Option<crate::evidence::Evidence>,
     /// Records of the moves that the sender knows.
@@ -136,6 +146,41 @@
     pub claim: Option<Claim>,
     /// Whether the receiver must reply at once, to show that it is reachable.
     pub wants_reply: bool,
+    /// Whether the receiver must pass the sender's announcement on to its zone.
+    pub wants_relay: bool,
+    /// States of other instances, which the sender received from their daemons.
+    pub loads: Vec<MemberLoad>,
+    /// Announcements that the sender wrote to the store.
+    pub stored: Vec<MemberRevision>,
+}
+
+/// State of an instance, as the daemon beside it reports it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Running and queued requests, and the slots.
+    pub load: Load,
+    /// Recent failure rate, in thousandths.
+    pub failures_permille: u16,
+    /// Latency relative to all instances on the same routes, in thousandths; 0 while unknown.
+    pub latency_permille: u16,
+}
+
+/// State of the instance beside another daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberLoad {
+    /// Daemon that reported the state.
+    pub daemon: DaemonId,
+    /// The reported state.
+    pub report: LoadReport,
+}
+
+/// One announcement of a daemon, without its content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRevision {
+    /// Daemon that announced.
+    pub daemon: DaemonId,
+    /// Revision of the announcement.
+    pub revision: Revision,
 }
 
 /// A record of the daemons' own topic in the store.
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -3,14 +3,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use base::Offset;
+use mesh::election::strength;
 use mesh::health::Alarm;
+use mesh::stored_members::SentAnnouncement;
+use mesh::stored_members::WriteStep;
+use mesh::stored_members::ZoneView;
+use mesh::stored_members::next_step;
 use mesh::wire::InstanceInfo;
 use mesh::wire::Member;
+use mesh::wire::MemberRevision;
 use mesh::wire::Record;
 use platform::Backoff;
 use protocol::codec;
 use report::metrics::LogRequest;
 use serde_json::json;
+use users_platform::StoreError;
 use users_platform::Topic;
 
 use crate::node::Node;
@@ -24,11 +32,16 @@
 /// Prefix of the keys of member records in the mesh topic.
 const MEMBER_KEY_PREFIX: &str = "member/";
 
+/// Interval at which the first leader of a zone writes the announcements that the store lacks.
+const ZONE_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Most announcements in one call to the store.
+const MAX_BATCH_RECORDS: usize = 500;
+
 /// Announces each change of this daemon's member record until the process ends.
 pub async fn announce(node: SharedNode) {
     let mut backoff = Backoff::new(BACKOFF, node.random());
-    let mut stored_revision: Option<(u64, u64)> = None;
-    let mut sent_revision: Option<(u64, u64)> = None;
+    let mut sent: Option<SentAnnouncement> = None;
     let mut alarm = Alarm::default();
     let mut last_failure: Option<(Instant, Duration)> = None;
     loop {
@@ -37,7 +50,10 @@
         let Some(member) = node.own_member() else {
             continue;
         };
-        let own_revision = (member.incarnation, member.revision);
+        if !node.has_loaded_members.get() {
+            continue;
+        }
+        let revision = member.full_revision();
         let failures = node.dispatcher.failures(Instant::now());
         let is_alarm = alarm.should_notify(failures);
         if is_alarm {
@@ -46,25 +62,26 @@
                 || json!({ "failures_permille": failures }),
             );
         }
-        if is_alarm || sent_revision != Some(own_revision) {
-            sent_revision = Some(own_revision);
+        let is_new = sent.is_none_or(|sent| sent.revision != revision);
+        if is_new {
+            let at = Instant::now();
+            sent = Some(SentAnnouncement { revision, at });
+        }
+        if is_alarm || is_new {
             node.broadcast_announcement().await;
         }
         let is_paused = last_failure.is_some_and(|(at, pause)| at.elapsed() < pause);
-        if stored_revision == Some(own_revision) || is_paused || !node.has_loaded_members.get() {
+        let since_sent = sent.map_or(Duration::ZERO, |sent| sent.at.elapsed());
+        if is_paused || node.next_write_step(&member, since_sent) == WriteStep::Wait {
             continue;
         }
-        let key = format!("{MEMBER_KEY_PREFIX}{}", member.daemon);
-        let value = codec::encode(&Record::Member(member));
-        node.metrics.record_log_request(LogRequest::Append);
-        match node.store.put(Topic::Mesh, &key, &value).await {
+        match node.store_members(&[member]).await {
             Ok(offset) => {
-                stored_revision = Some(own_revision);
                 last_failure = None;
                 backoff = Backoff::new(BACKOFF, node.random());
                 node.log_state(
                     "announced",
-                    || json!({ "revision": own_revision.1, "offset": offset }),
+                    || json!({ "revision": revision.1, "offset": offset }),
                 );
             }
             Err(e) => {
@@ -77,7 +94,106 @@
     }
 }
 
+/// While this daemon is the first leader of its zone, writes the zone's announcements that the store
+/// lacks. Runs until the process ends.
+pub async fn write_for_zone(node: SharedNode) {
+    let mut backoff = Backoff::new(BACKOFF, node.random());
+    loop {
+        monoio::time::sleep(ZONE_WRITE_INTERVAL).await;
+        let missing = node.missing_announcements();
+        if missing.is_empty() {
+            continue;
+        }
+        match node.store_members(&missing).await {
+            Ok(offset) => {
+                backoff = Backoff::new(BACKOFF, node.random());
+                node.log_state(
+                    "zone-announced",
+                    || json!({ "members": missing.len(), "offset": offset }),
+                );
+                let confirmations = missing.iter().map(|member| MemberRevision {
+                    daemon: member.daemon.clone(),
+                    revision: member.full_revision(),
+                });
+                let mut pending = node.pending_confirmations.borrow_mut();
+                pending.extend(confirmations);
+            }
+            Err(e) => {
+                node.election
+                    .borrow_mut()
+                    .record_store_call(false, Instant::now());
+                node.log_state(
+                    "announcement-failed",
+                    || json!({ "members": missing.len(), "reason": e.to_string() }),
+                );
+                monoio::time::sleep(backoff.next_delay()).await;
+            }
+        }
+    }
+}
+
 impl Node {
+    /// Appends announcements to the store in one call and returns the offset of the first.
+    async fn store_members(&self, members: &[Member]) -> Result<Offset, StoreError> {
+        let records: Vec<(String, Vec<u8>)> = members
+            .iter()
+            .map(|member| {
+                let key = format!("{MEMBER_KEY_PREFIX}{}", member.daemon);
+                let value = codec::encode(&Record::Member(member.clone()));
+                (key, value.to_vec())
+            })
+            .collect();
+        let borrowed: Vec<(&str, &[u8])> = records
+            .iter()
+            .map(|(key, value)| (key.as_str(), value.as_slice()))
+            .collect();
+        self.metrics.record_log_request(LogRequest::Append);
+        let offset = self.store.put_all(Topic::Mesh, &borrowed).await?;
+        let mut stored = self.stored_members.borrow_mut();
+        for member in members {
+            stored.record(&member.daemon, member.full_revision());
+        }
+        Ok(offset)
+    }
+
+    /// Returns the announcements that this daemon must write for its zone.
+    fn missing_announcements(&self) -> Vec<Member> {
+        let is_writer =
+            self.claim().is_some() && self.election.borrow().is_first_leader(Instant::now());
+        if !is_writer {
+            return Vec::new();
+        }
+        let directory = self.directory.borrow();
+        let zone = self.boot.borrow().zone.clone();
+        self.stored_members
+            .borrow()
+            .missing(&directory, &zone, MAX_BATCH_RECORDS)
+    }
+
+    fn next_write_step(&self, own: &Member, since_sent: Duration) -> WriteStep {
+        let is_stored = self
+            .stored_members
+            .borrow()
+            .contains(&own.daemon, own.full_revision());
+        next_step(self.zone_view(), is_stored, since_sent)
+    }
+
+    fn zone_view(&self) -> ZoneView {
+        let now = Instant::now();
+        let directory = self.directory.borrow();
+        let mut members = directory.entries().map(|entry| &entry.member);
+        let (zone, own_name) = (self.boot.borrow().zone.clone(), self.name());
+        if !members.any(|member| member.zone == zone && member.daemon != own_name) {
+            return ZoneView::Alone;
+        }
+        let election = self.election.borrow();
+        if election.has_other_leader(now) || election.is_first_leader(now) {
+            ZoneView::HasLeader
+        } else {
+            ZoneView::NoLeader
+        }
+    }
+
     /// Returns this daemon's member record, or `None` before the first one is built.
     pub fn own_member(&self) -> Option<Member> {
         let name = self.name();
@@ -127,6 +243,7 @@
                 cold_left: heartbeat.cold_left,
             }),
             is_open: !self.closing.is_set(),
+            strength: strength(boot.cpu_permille, boot.link_mbps),
         }
     }
 }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -1,4 +1,4 @@
-//! Dispatch of requests to the local instance: admission, connection and answer.
+//! Dispatch of requests to the local instance: connection and answer.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,16 +16,16 @@
 use local_sync::oneshot;
 use mesh::AdmissionController;
 use mesh::admission::AdmissionCfg;
-use mesh::admission::AdmissionDecision;
-use mesh::admission::AdmissionRequest;
 use mesh::admission::QueueAction;
 use mesh::config::RouteName;
 use mesh::evidence::Evidence;
 use mesh::evidence::RouteStats;
 use mesh::health::Health;
 use mesh::instance::Change;
+use mesh::latency::RelativeLatency;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
+use mesh::wire::LoadReport;
 use protocol::call::Load;
 use protocol::call::NotRun;
 use protocol::call::NotRunReason;
@@ -66,25 +66,30 @@
 /// Interval at which the queue is processed when no request ends: the shortest retry delay.
 pub const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-type RequestKey = u64;
+/// Time beyond the deadline during which an answer is still accepted: the instance answers at the
+/// deadline, and the answer has to travel.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+pub(crate) type RequestKey = u64;
 
 /// Outcome for a queued request.
-enum WaitOutcome {
+pub(crate) enum WaitOutcome {
     Run,
     Refused(NotRun),
 }
 
 /// Admits requests to the local instance and pools the connections to it.
 pub struct InstanceDispatcher {
-    admission: RefCell<AdmissionController<RequestKey>>,
-    waiting: RefCell<FastMap<RequestKey, oneshot::Sender<WaitOutcome>>>,
+    pub(crate) admission: RefCell<AdmissionController<RequestKey>>,
+    pub(crate) waiting: RefCell<FastMap<RequestKey, oneshot::Sender<WaitOutcome>>>,
     /// Requests that were granted a slot but have not resumed yet.
-    granted: RefCell<FastSet<RequestKey>>,
-    last_key: Cell<RequestKey>,
+    pub(crate) granted: RefCell<FastSet<RequestKey>>,
+    pub(crate) last_key: Cell<RequestKey>,
     conns: Pool,
     instance: Cell<SocketAddr>,
     counts: RefCell<RouteCounts>,
     health: RefCell<Health>,
+    latency: RefCell<RelativeLatency>,
 }
 
 /// What a request contributes to the canary evidence on the instance's version.
@@ -126,6 +131,7 @@
             instance: Cell::new(instance),
             counts: RefCell::default(),
             health: RefCell::default(),
+            latency: RefCell::default(),
         }
     }
 
@@ -139,11 +145,21 @@
         self.health.borrow().failures_permille(now)
     }
 
-    /// Sets the address of the instance; if it changed, discards idle connections to the new
+    /// Returns the state of the instance for replies and gossip.
+    pub fn report(&self, now: Instant) -> LoadReport {
+        LoadReport {
+            load: self.load(),
+            failures_permille: self.failures(now),
+            latency_permille: self.latency.borrow().permille(),
+        }
+    }
+
+    /// Sets the address of the instance; if it changed, discards idle connections to the earlier
     /// address.
     pub fn set_instance(&self, address: SocketAddr) {
-        if self.instance.replace(address) != address {
-            self.conns.close_idle(address);
+        let earlier = self.instance.replace(address);
+        if earlier != address {
+            self.conns.close_idle(earlier);
         }
     }
 
@@ -158,6 +174,7 @@
             };
             self.admission.borrow_mut().reset_service_times();
             *self.health.borrow_mut() = Health::default();
+            *self.latency.borrow_mut() = RelativeLatency::default();
             self.conns.close_idle(self.instance.get());
         }
         drop(counts);
@@ -197,7 +214,7 @@
         }
     }
 
-    fn notify_waiter(&self, key: RequestKey, wait_outcome: WaitOutcome) -> bool {
+    pub(crate) fn notify_waiter(&self, key: RequestKey, wait_outcome: WaitOutcome) -> bool {
         let tx = self.waiting.borrow_mut().remove(&key);
         tx.is_some_and(|tx| tx.send(wait_outcome).is_ok())
     }
@@ -227,6 +244,17 @@
         self.health.borrow_mut().record(is_failure, now);
     }
 
+    /// Records the latency of a request for the comparison with other instances. A failure counts
+    /// only if it took longer than the mean, since failing instances often answer immediately.
+    fn record_latency(&self, node: &Node, head: &ForwardHead, took: Duration, is_failure: bool) {
+        let mean = node.balancer.borrow().mean_latency(&head.route);
+        if let Some(mean) = mean
+            && (!is_failure || took > mean)
+        {
+            self.latency.borrow_mut().record(took, mean);
+        }
+    }
+
     fn record_evidence(&self, node: &Node, head: &ForwardHead, sample: EvidenceSample) {
         let local = node.local.borrow();
         let is_cold = local
@@ -322,6 +350,7 @@
             Err(e) => {
                 drop(conn);
                 self.dispatcher.record_health(true);
+                self.dispatcher.record_latency(self, head, took, true);
                 self.dispatcher
                     .record_evidence(self, head, EvidenceSample::Missing);
                 self.event_log.emit(
@@ -361,6 +390,7 @@
             InstanceResponse::Mismatched => Dispatched::without_answer(ForwardOutcome::Unknown),
             InstanceResponse::Done | InstanceResponse::Failed => {
                 let is_failure = answer == InstanceResponse::Failed;
+                self.dispatcher.record_latency(self, head, took, is_failure);
                 let sample = EvidenceSample::Answer { took, is_failure };
                 self.dispatcher.record_evidence(self, head, sample);
                 slot.finish(&head.route, took);
@@ -393,105 +423,4 @@
             && heartbeat.version == head.version;
         (!is_match).then_some(NotRunReason::WrongVersion)
     }
-
-    /// Acquires a slot of the instance, queueing if none is free. Returns `None` if the queue
-    /// dropped the request without an outcome.
-    async fn admit(
-        &self,
-        head: &ForwardHead,
-        arrived: Instant,
-        deadline: Instant,
-    ) -> Option<Result<SlotGuard<'_>, NotRun>> {
-        let owner = &self.dispatcher;
-        let key = owner.last_key.get() + 1;
-        owner.last_key.set(key);
-        let admission_request = AdmissionRequest {
-            key,
-            route: head.route.clone(),
-            rank: head.rank,
-            full_value_until: arrived + Duration::from_millis(u64::from(head.full_value_ms)),
-            deadline,
-        };
-        let offer = owner
-            .admission
-            .borrow_mut()
-            .offer(admission_request, Instant::now());
-        let mut slot = SlotGuard {
-            owner,
-            key,
-            state: SlotState::Waiting,
-        };
-        match offer {
-            AdmissionDecision::Run => {
-                slot.state = SlotState::Running;
-                return Some(Ok(slot));
-            }
-            AdmissionDecision::Refused(not_run) => {
-                slot.state = SlotState::Released;
-                return Some(Err(not_run));
-            }
-            AdmissionDecision::Queued => {}
-            AdmissionDecision::QueuedInPlaceOf(other, not_run) => {
-                owner.notify_waiter(other, WaitOutcome::Refused(not_run));
-            }
-        }
-        let (tx, rx) = oneshot::channel();
-        owner.waiting.borrow_mut().insert(key, tx);
-        match rx.await {
-            Ok(WaitOutcome::Run) => {
-                owner.granted.borrow_mut().remove(&key);
-                slot.state = SlotState::Running;
-                Some(Ok(slot))
-            }
-            Ok(WaitOutcome::Refused(not_run)) => {
-                slot.state = SlotState::Released;
-                Some(Err(not_run))
-            }
-            Err(_) => None,
-        }
-    }
-}
-
-/// Time beyond the deadline during which an answer is still accepted: the instance answers at the
-/// deadline, and the answer has to travel.
-const ANSWER_GRACE: Duration = Duration::from_millis(100);
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum SlotState {
-    Waiting,
-    Running,
-    Released,
-}
-
-/// A queue position, then a slot. Released on drop, also if the client disconnects.
-struct SlotGuard<'a> {
-    owner: &'a InstanceDispatcher,
-    key: RequestKey,
-    state: SlotState,
-}
-
-impl SlotGuard<'_> {
-    fn finish(mut self, route: &RouteName, took: Duration) {
-        self.owner.admission.borrow_mut().finished(route, took);
-        self.state = SlotState::Released;
-        self.owner.process_queue();
-    }
-}
-
-impl Drop for SlotGuard<'_> {
-    fn drop(&mut self) {
-        match self.state {
-            SlotState::Released => return,
-            SlotState::Running => self.owner.admission.borrow_mut().released(),
-            SlotState::Waiting => {
-                self.owner.waiting.borrow_mut().remove(&self.key);
-                self.owner.admission.borrow_mut().withdraw(&self.key);
-                // The slot was granted before the client's disconnect was seen.
-                if self.owner.granted.borrow_mut().remove(&self.key) {
-                    self.owner.admission.borrow_mut().released();
-                }
-            }
-        }
-        self.owner.process_queue();
-    }
 }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -12,6 +12,7 @@
 use http_edge::Handler;
 use http_edge::Request;
 use http_edge::Response;
+use mesh::balancer::ReportSource;
 use mesh::directory::Entry;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
@@ -67,11 +68,10 @@
         let member = &to.member;
         if member.daemon == self.name() {
             let result = self.dispatch(head, req.clone(), Instant::now()).await;
-            let (load, now) = (self.dispatcher.load(), Instant::now());
-            let failures = self.dispatcher.failures(now);
-            self.balancer
-                .borrow_mut()
-                .record_load(to, load, failures, now);
+            let now = Instant::now();
+            let report = self.dispatcher.report(now);
+            let mut balancer = self.balancer.borrow_mut();
+            balancer.record_report(to, report, ReportSource::Direct, now);
             return ForwardResult::Replied(result);
         }
         let mut conn = match self.peer_conns.take(member.address).await {
@@ -120,9 +120,12 @@
             return ForwardResult::Lost("unreadable reply");
         };
         res.headers.remove(OUTCOME_HEADER);
-        self.balancer
-            .borrow_mut()
-            .record_load(to, reply.load, reply.failures, Instant::now());
+        self.balancer.borrow_mut().record_report(
+            to,
+            reply.report,
+            ReportSource::Direct,
+            Instant::now(),
+        );
         self.record_config_version(reply.config, to.member.address);
         if let Some(member) = reply.member {
             self.merge_member(member, "reply");
@@ -214,8 +217,7 @@
         };
         let reply = ForwardReply {
             outcome: result.outcome,
-            load: self.node.dispatcher.load(),
-            failures: self.node.dispatcher.failures(Instant::now()),
+            report: self.node.dispatcher.report(Instant::now()),
             config: self.node.active_table.borrow().version(),
             member,
         };
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -8,10 +8,16 @@
 use std::time::Instant;
 
 use base::DaemonId;
+use base::FastMap;
+use base::ZoneName;
+use mesh::balancer::ReportSource;
 use mesh::directory::Entry;
 use mesh::election::Claim;
 use mesh::wire::Gossip;
+use mesh::wire::LoadReport;
 use mesh::wire::Member;
+use mesh::wire::MemberLoad;
+use mesh::wire::MemberRevision;
 use protocol::codec;
 use serde_json::json;
 
@@ -19,8 +25,8 @@
 use crate::node::Node;
 use crate::node::SharedNode;
 
-/// Time between two gossip rounds. Each daemon sends to one random peer per round, so a
-/// configuration known to one daemon of a hundred reaches all within ten rounds.
+/// Time between two gossip rounds. In most rounds a daemon reports its load to the leaders of its
+/// zone, which pass the loads of the zone on with their claims.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval at which a zone leader checks for changes to send at once: a fifth of a round.
@@ -30,10 +36,23 @@
 /// which a bad version is served.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Records of other members in each round's datagram. With two, every daemon of a fleet of a hundred
-/// receives the records of all members within a minute, in addition to what leaders send at once.
+/// One round of this many goes to a random daemon of the fleet instead, so that announcements spread
+/// also while the leaders fail.
+const RANDOM_ROUND: u32 = 4;
+
+/// Records of other members in the datagram of a random round.
 const RELAYED_MEMBERS: usize = 2;
 
+/// Daemons of each other zone that receive an announcement first and pass it on to their zone. The
+/// second one counts when the first has just failed.
+const RELAYS_PER_ZONE: usize = 2;
+
+/// Age up to which a leader passes the report of an instance on.
+const REPORT_MAX_AGE: Duration = Duration::from_millis(600);
+
+/// Most reports of other instances in one datagram; they fit one packet with the sender's record.
+const MAX_BATCH_LOADS: usize = 20;
+
 /// Most member records from the store in one datagram; they fit one packet.
 const MAX_BATCH_MEMBERS: usize = 6;
 
@@ -42,12 +61,20 @@
 
 /// Sends gossip rounds until the process ends.
 pub async fn send_rounds(node: SharedNode) {
+    let mut round = 0_u32;
     loop {
         monoio::time::sleep(ROUND_INTERVAL).await;
-        let gossip = node.build_gossip(node.random_members(RELAYED_MEMBERS));
-        let receivers = node.random_members(1);
-        let addresses = receivers.iter().map(|member| member.address);
-        node.send_gossip(&gossip, addresses).await;
+        round = round.wrapping_add(1);
+        let leaders = node.zone_leader_addresses();
+        if leaders.is_empty() || round.is_multiple_of(RANDOM_ROUND) {
+            let gossip = node.build_gossip(node.random_members(RELAYED_MEMBERS));
+            let receivers = node.random_members(1);
+            let addresses = receivers.iter().map(|member| member.address);
+            node.send_gossip(&gossip, addresses).await;
+        } else {
+            node.send_gossip(&node.build_gossip(Vec::new()), leaders)
+                .await;
+        }
     }
 }
 
@@ -69,6 +96,7 @@
             });
         }
         let new_members = node.pending_members.take();
+        let stored = node.pending_confirmations.take();
         if !is_leading {
             continue;
         }
@@ -76,18 +104,20 @@
             node.active_table.borrow().version(),
             node.move_precedences(),
         );
-        if sent_state == state && new_members.is_empty() && sent_at.elapsed() < ROUND_INTERVAL {
+        let has_news = sent_state != state || !new_members.is_empty() || !stored.is_empty();
+        if !has_news && sent_at.elapsed() < ROUND_INTERVAL {
             continue;
         }
+        let is_round = sent_at.elapsed() >= ROUND_INTERVAL;
         sent_state = state;
         sent_at = Instant::now();
         let receivers = node.claim_receivers();
-        // Without new members, one datagram carries the claim.
-        let batches = new_members
-            .chunks(MAX_BATCH_MEMBERS)
-            .chain(new_members.is_empty().then_some([].as_slice()));
-        for batch in batches {
-            let gossip = node.build_gossip(batch.to_vec());
+        let loads = if is_round {
+            node.zone_loads()
+        } else {
+            Vec::new()
+        };
+        for gossip in node.leader_datagrams(&new_members, &stored, &loads) {
             node.send_gossip(&gossip, receivers.iter().copied()).await;
         }
     }
@@ -118,6 +148,7 @@
             node.send_gossip(&node.build_gossip(Vec::new()), [from])
                 .await;
         }
+        node.relay_if_wanted(&gossip, from).await;
         node.handle_gossip(gossip, from);
     }
 }
@@ -136,6 +167,7 @@
             datagram = codec::encode(&Gossip {
                 members: gossip.members.iter().take(1).cloned().collect(),
                 evidence: None,
+                loads: Vec::new(),
                 ..gossip.clone()
             });
         }
@@ -162,11 +194,116 @@
         self.send_gossip(&probe, [address]).await;
     }
 
-    /// Sends this daemon's member record to all known daemons.
+    /// Sends this daemon's member record to all daemons of its zone, and to a few of each other zone,
+    /// which pass it on.
     pub async fn broadcast_announcement(&self) {
-        let addresses = self.addresses(|_| true);
-        self.send_gossip(&self.build_gossip(Vec::new()), addresses)
-            .await;
+        let gossip = self.build_gossip(Vec::new());
+        let zone = self.boot.borrow().zone.clone();
+        let own_zone = self.addresses(|member| member.zone == zone);
+        self.send_gossip(&gossip, own_zone).await;
+        let relays = self.relay_addresses();
+        let gossip = Gossip {
+            wants_relay: true,
+            ..gossip
+        };
+        self.send_gossip(&gossip, relays).await;
+    }
+
+    /// Returns the addresses of [`RELAYS_PER_ZONE`] random daemons of each other zone.
+    fn relay_addresses(&self) -> Vec<SocketAddr> {
+        let own_zone = self.boot.borrow().zone.clone();
+        let directory = self.directory.borrow();
+        let mut by_zone: FastMap<ZoneName, Vec<SocketAddr>> = FastMap::default();
+        for entry in directory.entries() {
+            let member = &entry.member;
+            if member.zone != own_zone && member.is_open {
+                let addresses = by_zone.entry(member.zone.clone()).or_default();
+                addresses.push(member.address);
+            }
+        }
+        let mut relays = Vec::new();
+        for mut addresses in by_zone.into_values() {
+            for _ in 0..RELAYS_PER_ZONE.min(addresses.len()) {
+                let len = u64::try_from(addresses.len()).unwrap_or(1);
+                let index = usize::try_from(self.random() % len).unwrap_or(0);
+                relays.push(addresses.swap_remove(index));
+            }
+        }
+        relays
+    }
+
+    /// Passes the announcement of a daemon in another zone on to this zone if it asks for that.
+    async fn relay_if_wanted(&self, gossip: &Gossip, from: SocketAddr) {
+        let Some(sender) = gossip.members.first().filter(|_| gossip.wants_relay) else {
+            return;
+        };
+        let zone = self.boot.borrow().zone.clone();
+        if sender.zone == zone {
+            return;
+        }
+        let load = MemberLoad {
+            daemon: sender.daemon.clone(),
+            report: gossip.report,
+        };
+        let relayed = Gossip {
+            loads: vec![load],
+            ..self.build_gossip(vec![sender.clone()])
+        };
+        let receivers = self.addresses(|member| member.zone == zone && member.address != from);
+        self.send_gossip(&relayed, receivers).await;
+    }
+
+    fn zone_leader_addresses(&self) -> Vec<SocketAddr> {
+        let election = self.election.borrow();
+        let directory = self.directory.borrow();
+        let leaders = election.zone_leaders(Instant::now());
+        leaders
+            .filter_map(|daemon| directory.get(daemon))
+            .map(|entry| entry.member.address)
+            .collect()
+    }
+
+    /// Returns the recent reports of the instances of this zone, which their daemons sent here.
+    fn zone_loads(&self) -> Vec<MemberLoad> {
+        let zone = self.boot.borrow().zone.clone();
+        let now = Instant::now();
+        let directory = self.directory.borrow();
+        let balancer = self.balancer.borrow();
+        let in_zone = directory.entries().map(|entry| &entry.member);
+        in_zone
+            .filter(|member| member.zone == zone && member.instance.is_some())
+            .filter_map(|member| {
+                let report = balancer.direct_report(&member.daemon, REPORT_MAX_AGE, now)?;
+                let daemon = member.daemon.clone();
+                Some(MemberLoad { daemon, report })
+            })
+            .collect()
+    }
+
+    /// Returns the datagrams in which a leader sends its claim and what its zone lacks.
+    fn leader_datagrams(
+        &self,
+        new_members: &[Member],
+        stored: &[MemberRevision],
+        loads: &[MemberLoad],
+    ) -> Vec<Gossip> {
+        let claim = || self.build_gossip(Vec::new());
+        let members = new_members
+            .chunks(MAX_BATCH_MEMBERS)
+            .map(|batch| self.build_gossip(batch.to_vec()));
+        let stored = stored.chunks(MAX_BATCH_LOADS).map(|batch| Gossip {
+            stored: batch.to_vec(),
+            ..claim()
+        });
+        let loads = loads.chunks(MAX_BATCH_LOADS).map(|batch| Gossip {
+            loads: batch.to_vec(),
+            ..claim()
+        });
+        let mut datagrams: Vec<Gossip> = members.chain(stored).chain(loads).collect();
+        if datagrams.is_empty() {
+            datagrams.push(claim());
+        }
+        datagrams
     }
 
     /// Returns the addresses that receive this daemon's claim: those of its zone, or of all daemons
@@ -197,12 +334,14 @@
         Gossip {
             members,
             config: self.active_table.borrow().version(),
-            load: self.dispatcher.load(),
-            failures: self.dispatcher.failures(Instant::now()),
+            report: self.dispatcher.report(Instant::now()),
             evidence: evidence.flatten(),
             moves: moves.records().cloned().collect(),
             claim: self.claim(),
             wants_reply: false,
+            wants_relay: false,
+            loads: Vec::new(),
+            stored: Vec::new(),
         }
     }
 
@@ -224,14 +363,22 @@
             self.merge_move(record, "gossip");
         }
         self.record_config_version(gossip.config, from);
+        for MemberRevision { daemon, revision } in gossip.stored {
+            self.stored_members.borrow_mut().record(&daemon, revision);
+        }
+        self.record_report(&sender, gossip.report, ReportSource::Direct);
+        for MemberLoad { daemon, report } in gossip.loads {
+            self.record_report(&daemon, report, ReportSource::Relayed);
+        }
+    }
+
+    fn record_report(&self, daemon: &DaemonId, report: LoadReport, source: ReportSource) {
         let directory = self.directory.borrow();
-        if let Some(entry) = directory.get(&sender)
+        if let Some(entry) = directory.get(daemon)
             && entry.member.instance.is_some()
         {
-            let now = Instant::now();
-            self.balancer
-                .borrow_mut()
-                .record_load(entry, gossip.load, gossip.failures, now);
+            let mut balancer = self.balancer.borrow_mut();
+            balancer.record_report(entry, report, source, Instant::now());
         }
     }
 
@@ -249,13 +396,24 @@
         }
     }
 
+    /// Returns the addresses of up to `count` other daemons of this zone, chosen at random.
+    pub fn zone_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let zone = self.boot.borrow().zone.clone();
+        let peers = self.random_members_where(count, |member| member.zone == zone);
+        peers.iter().map(|member| member.address).collect()
+    }
+
     /// Returns up to `count` other members, chosen at random without repetition.
     fn random_members(&self, count: usize) -> Vec<Member> {
+        self.random_members_where(count, |_| true)
+    }
+
+    fn random_members_where(&self, count: usize, keep: impl Fn(&Member) -> bool) -> Vec<Member> {
         let own_name = self.name();
         let directory = self.directory.borrow();
         let mut others: Vec<&Entry> = directory
             .entries()
-            .filter(|entry| entry.member.daemon != own_name)
+            .filter(|entry| entry.member.daemon != own_name && keep(&entry.member))
             .collect();
         let mut chosen = Vec::with_capacity(count);
         while chosen.len() < count && !others.is_empty() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 mod move_controller;
 mod node;
 pub mod run;
+mod slot;
 mod store_sync;
 
 #[cfg(test)]
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -21,6 +21,7 @@
 use mesh::Directory;
 use mesh::LeaderElection;
 use mesh::LocalInstance;
+use mesh::StoredMembers;
 use mesh::balancer::BalancerCfg;
 use mesh::balancer::RandomPair;
 use mesh::canary::CanaryAnalysis;
@@ -30,12 +31,14 @@
 use mesh::election::Claim;
 use mesh::election::Role;
 use mesh::election::strength;
+use mesh::instance::Change;
 use mesh::moves::Moves;
 use mesh::moves::VersionFilter;
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
 use mesh::wire::Member;
+use mesh::wire::MemberRevision;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -76,6 +79,10 @@
     pub election: RefCell<LeaderElection>,
     /// Member records read from the store that are yet to be sent to the zone.
     pub pending_members: RefCell<Vec<Member>>,
+    /// Which announcements the store holds.
+    pub stored_members: RefCell<StoredMembers>,
+    /// Announcements that this daemon wrote for its zone and has yet to confirm.
+    pub pending_confirmations: RefCell<Vec<MemberRevision>>,
     pub local: RefCell<LocalInstance>,
     pub directory: RefCell<Directory>,
     pub balancer: RefCell<Balancer>,
@@ -130,6 +137,8 @@
                 strength(boot.cpu_permille, boot.link_mbps),
             )),
             pending_members: RefCell::default(),
+            stored_members: RefCell::default(),
+            pending_confirmations: RefCell::default(),
             local: RefCell::default(),
             directory: RefCell::default(),
             balancer: RefCell::new(Balancer::new(BalancerCfg::default(), boot.zone.clone())),
@@ -232,6 +241,7 @@
     pub fn merge_member(&self, member: Member, source: &'static str) -> Merge {
         if member.daemon == self.name() {
             self.supersede_own_incarnation(&member);
+            self.restore_instance(&member);
             return Merge::Known;
         }
         let daemon = member.daemon.clone();
@@ -272,6 +282,25 @@
         }
     }
 
+    /// Takes over the instance that an earlier process of this daemon announced, since the instance
+    /// sends its next heartbeat only after a while.
+    fn restore_instance(&self, own: &Member) {
+        let Some(info) = &own.instance else {
+            return;
+        };
+        let address = self.boot.borrow().instance_address.to_string();
+        let change = self
+            .local
+            .borrow_mut()
+            .restore(info, address.into(), Instant::now());
+        if change == Change::Told {
+            self.log_state("instance-restored", || {
+                json!({ "instance": info.id, "born": info.born, "incarnation": own.incarnation })
+            });
+            self.dispatcher.set_slots(info.slots, info.born);
+        }
+    }
+
     /// Divides the fleet's retry budget by the number of known daemons.
     fn resize_retry_budgets(&self) {
         let boot = self.boot.borrow();
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -227,6 +227,7 @@
     monoio::spawn(store_sync::follow_topic(Rc::clone(node), Topic::Mesh));
     monoio::spawn(store_sync::fetch_from_peers(Rc::clone(node)));
     monoio::spawn(announce::announce(Rc::clone(node)));
+    monoio::spawn(announce::write_for_zone(Rc::clone(node)));
     monoio::spawn(move_controller::decide_moves(Rc::clone(node)));
     monoio::spawn(housekeeping(Rc::clone(node)));
     Ok(servers)
--- /dev/null
+++ b/crates/sidecar/src/slot.rs
@@ -0,0 +1,116 @@
+//! Slots of the local instance: a request acquires one, or waits or is refused as admission control
+//! decides.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use local_sync::oneshot;
+use mesh::admission::AdmissionDecision;
+use mesh::admission::AdmissionRequest;
+use mesh::config::RouteName;
+use mesh::wire::ForwardHead;
+use protocol::call::NotRun;
+
+use crate::dispatch::InstanceDispatcher;
+use crate::dispatch::RequestKey;
+use crate::dispatch::WaitOutcome;
+use crate::node::Node;
+
+impl Node {
+    /// Acquires a slot of the instance, queueing if none is free. Returns `None` if the queue
+    /// dropped the request without an outcome.
+    pub(crate) async fn admit(
+        &self,
+        head: &ForwardHead,
+        arrived: Instant,
+        deadline: Instant,
+    ) -> Option<Result<SlotGuard<'_>, NotRun>> {
+        let owner = &self.dispatcher;
+        let key = owner.last_key.get() + 1;
+        owner.last_key.set(key);
+        let admission_request = AdmissionRequest {
+            key,
+            route: head.route.clone(),
+            rank: head.rank,
+            full_value_until: arrived + Duration::from_millis(u64::from(head.full_value_ms)),
+            deadline,
+        };
+        let offer = owner
+            .admission
+            .borrow_mut()
+            .offer(admission_request, Instant::now());
+        let mut slot = SlotGuard {
+            owner,
+            key,
+            state: SlotState::Waiting,
+        };
+        match offer {
+            AdmissionDecision::Run => {
+                slot.state = SlotState::Running;
+                return Some(Ok(slot));
+            }
+            AdmissionDecision::Refused(not_run) => {
+                slot.state = SlotState::Released;
+                return Some(Err(not_run));
+            }
+            AdmissionDecision::Queued => {}
+            AdmissionDecision::QueuedInPlaceOf(other, not_run) => {
+                owner.notify_waiter(other, WaitOutcome::Refused(not_run));
+            }
+        }
+        let (tx, rx) = oneshot::channel();
+        owner.waiting.borrow_mut().insert(key, tx);
+        match rx.await {
+            Ok(WaitOutcome::Run) => {
+                owner.granted.borrow_mut().remove(&key);
+                slot.state = SlotState::Running;
+                Some(Ok(slot))
+            }
+            Ok(WaitOutcome::Refused(not_run)) => {
+                slot.state = SlotState::Released;
+                Some(Err(not_run))
+            }
+            Err(_) => None,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotState {
+    Waiting,
+    Running,
+    Released,
+}
+
+/// A queue position, then a slot. Released on drop, also if the client disconnects.
+pub(crate) struct SlotGuard<'a> {
+    owner: &'a InstanceDispatcher,
+    key: RequestKey,
+    state: SlotState,
+}
+
+impl SlotGuard<'_> {
+    pub(crate) fn finish(mut self, route: &RouteName, took: Duration) {
+        self.owner.admission.borrow_mut().finished(route, took);
+        self.state = SlotState::Released;
+        self.owner.process_queue();
+    }
+}
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        match self.state {
+            SlotState::Released => return,
+            SlotState::Running => self.owner.admission.borrow_mut().released(),
+            SlotState::Waiting => {
+                self.owner.waiting.borrow_mut().remove(&self.key);
+                self.owner.admission.borrow_mut().withdraw(&self.key);
+                // The slot was granted before the client's disconnect was seen.
+                if self.owner.granted.borrow_mut().remove(&self.key) {
+                    self.owner.admission.borrow_mut().released();
+                }
+            }
+        }
+        self.owner.process_queue();
+    }
+}
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_edge::Request;
 use mesh::directory::Merge;
+use mesh::election::strength;
 use mesh::wire::Member;
 use mesh::wire::Record;
 use platform::Backoff;
@@ -36,10 +37,25 @@
 /// leadership claim.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause after new member records, so that announcements close together are read in one call;
-/// gossip carries them meanwhile.
+/// Pause after member records that gossip had not brought, so that announcements close together are
+/// read in one call.
 const MEMBER_BATCH_DELAY: Duration = Duration::from_millis(700);
 
+/// Pause after member records that were all known: gossip works, and the store is only read to find
+/// what it lost.
+const KNOWN_MEMBER_DELAY: Duration = Duration::from_secs(5);
+
+/// Longest delay of the first read when the whole fleet starts. Daemons that read later find the
+/// first ones of their zone, which then write the announcements of the others.
+const FIRST_START_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time in which the leaders of the zone must claim that role to a daemon that has the members;
+/// after it the daemon reads the configuration itself.
+const LEADER_WAIT: Duration = Duration::from_millis(800);
+
+/// Daemons of the zone that a starting daemon asks for their configuration version at once.
+const PROBED_PEERS: usize = 2;
+
 /// Pause after a new configuration. In a burst only the newest one counts, and each must be in
 /// force within two seconds.
 const CONFIG_BATCH_DELAY: Duration = Duration::from_millis(300);
@@ -64,13 +80,21 @@
     let mut backoff = Backoff::new(BACKOFF, node.random());
     let mut next_offset: Option<Offset> = None;
     let mut is_store_available = true;
+    let mut is_following = match topic {
+        Topic::Operator => node.wait_for_leaders().await == Source::Leaders,
+        Topic::Mesh | Topic::Reports => {
+            monoio::time::sleep(node.first_read_delay()).await;
+            false
+        }
+    };
     loop {
-        if next_offset.is_some() && !node.is_leader() {
+        if is_following && !node.is_leader() {
             monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
             if node.is_leader() {
                 // Reading the newest record of each key costs less than replaying the skipped
                 // records.
                 next_offset = None;
+                is_following = false;
             }
             continue;
         }
@@ -94,6 +118,7 @@
                 }
                 is_store_available = true;
                 next_offset = Some(next);
+                is_following = true;
                 backoff = Backoff::new(BACKOFF, node.random());
             }
             Err(StoreError::Expired(first)) => {
@@ -102,6 +127,7 @@
                     || json!({ "topic": format!("{topic:?}"), "from": next_offset, "first": first }),
                 );
                 next_offset = None;
+                is_following = false;
             }
             Err(e) => {
                 if is_store_available {
@@ -141,14 +167,66 @@
     }
 }
 
-fn batch_delay(topic: Topic) -> Duration {
+fn batch_delay(topic: Topic, has_news: bool) -> Duration {
     match topic {
-        Topic::Mesh => MEMBER_BATCH_DELAY,
+        Topic::Mesh if has_news => MEMBER_BATCH_DELAY,
+        Topic::Mesh => KNOWN_MEMBER_DELAY,
         Topic::Operator | Topic::Reports => CONFIG_BATCH_DELAY,
     }
 }
 
+/// Where a starting daemon gets the configuration from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// From the leaders of its zone.
+    Leaders,
+    /// From the store.
+    Store,
+}
+
 impl Node {
+    /// Returns how long to wait before the first read of the members.
+    fn first_read_delay(&self) -> Duration {
+        if !self.boot.borrow().is_first_start {
+            return Duration::ZERO;
+        }
+        let spread = u64::try_from(FIRST_START_SPREAD.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.random() % spread)
+    }
+
+    /// Waits until the members are known and a leader of the zone claims that role, for which this
+    /// daemon sends probes. Without members in the zone or without a claim in time, the store is the
+    /// source.
+    async fn wait_for_leaders(&self) -> Source {
+        while !self.has_loaded_members.get() {
+            monoio::time::sleep(FETCH_INTERVAL).await;
+        }
+        let loaded_at = Instant::now();
+        let peers = self.zone_peers(PROBED_PEERS);
+        if peers.is_empty() || self.is_expected_leader() {
+            return Source::Store;
+        }
+        for address in peers {
+            self.send_probe(address).await;
+        }
+        while loaded_at.elapsed() < LEADER_WAIT {
+            let has_leader = self.election.borrow().has_other_leader(Instant::now());
+            if has_leader && !self.is_leader() {
+                return Source::Leaders;
+            }
+            monoio::time::sleep(FETCH_INTERVAL).await;
+        }
+        Source::Store
+    }
+
+    fn is_expected_leader(&self) -> bool {
+        let boot = self.boot.borrow();
+        let own = strength(boot.cpu_permille, boot.link_mbps);
+        self.directory
+            .borrow()
+            .is_expected_leader(&boot.daemon, &boot.zone, own)
+    }
+
     async fn read_newest(&self, topic: Topic) -> Result<Offset, StoreError> {
         let newest = self.store.newest(topic).await?;
         for record in newest.records {
@@ -164,11 +242,13 @@
     async fn read_from(&self, topic: Topic, from: Offset) -> Result<Offset, StoreError> {
         let page = self.store.read(topic, from, LONG_POLL_TIMEOUT).await?;
         let got_records = !page.records.is_empty();
+        let digest = self.directory.borrow().digest();
         for record in page.records {
             self.apply_record(topic, record);
         }
         if got_records {
-            monoio::time::sleep(batch_delay(topic)).await;
+            let has_news = self.directory.borrow().digest() != digest;
+            monoio::time::sleep(batch_delay(topic, has_news)).await;
         }
         Ok(page.next)
     }
@@ -241,6 +321,10 @@
     fn apply_mesh_record(&self, key: &str, value: &Bytes) {
         match codec::decode::<Record>(value) {
             Ok(Record::Member(member)) => {
+                let revision = member.full_revision();
+                self.stored_members
+                    .borrow_mut()
+                    .record(&member.daemon, revision);
                 if self.merge_member(member.clone(), "store") == Merge::Newer {
                     self.pending_members.borrow_mut().push(member);
                 }
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -37,5 +37,6 @@
         grace_period: Duration::from_secs(1),
         cpu_permille: 200,
         link_mbps: 1000,
+        is_first_start: false,
     }
 }
