--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -33,7 +33,7 @@
 const MEMBER_KEY_PREFIX: &str = "member/";
 
 /// Interval at which the first leader of a zone writes the announcements that the store lacks.
-const ZONE_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const ZONE_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Most announcements in one call to the store.
 const MAX_BATCH_RECORDS: usize = 500;
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -88,9 +88,9 @@
         }
     };
     loop {
-        if is_following && !node.is_leader() {
+        if is_following && !node.is_reader(topic) {
             monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
-            if node.is_leader() {
+            if node.is_reader(topic) {
                 // Reading the newest record of each key costs less than replaying the skipped
                 // records.
                 next_offset = None;
@@ -185,6 +185,18 @@
 }
 
 impl Node {
+    /// Whether this daemon reads a topic for its zone. Both leaders read the operator's records, since
+    /// one of them may be cut off from the store without noticing it. One reads the members, which
+    /// gossip brings too.
+    fn is_reader(&self, topic: Topic) -> bool {
+        match topic {
+            Topic::Operator | Topic::Reports => self.is_leader(),
+            Topic::Mesh => {
+                self.is_leader() && self.election.borrow().is_first_leader(Instant::now())
+            }
+        }
+    }
+
     /// Returns how long to wait before the first read of the members.
     fn first_read_delay(&self) -> Duration {
         if !self.boot.borrow().is_first_start {
