Grant large bodies to the sender before they are sent, and count link use in placement

Change: a body that takes the receiver's link for over 5 ms is sent only after the receiving daemon granted it; 50 ms of link time are granted at once, the others wait at their senders by rank or are refused before a byte is sent. Daemons report the used part of their link, and the balancer counts it like slots. A large body stays on its machine if the instance there has room. Failures count above the rate of the best quarter instead of the best instance, whose rate is far below the others by chance among hundreds.

--- a/crates/mesh/src/balancer.rs
+++ b/crates/mesh/src/balancer.rs
@@ -21,6 +21,7 @@
 use crate::directory::Entry;
 use crate::health::Health;
 use crate::health::decay_factor;
+use crate::link;
 use crate::wire::LoadReport;
 
 /// Parameters of the load balancer.
@@ -34,14 +35,17 @@
     pub local_zone_factor: f64,
     /// Weight of the latest answer in the moving average of the relative latency.
     pub latency_smoothing: f64,
-    /// Cost added at a failure rate of 1; applies to the part of the rate above both that of the
-    /// best candidate and the tolerated rate.
+    /// Cost added at a failure rate of 1; applies to the part of the rate above both the common
+    /// rate of the candidates and the tolerated rate.
     pub failure_penalty: f64,
     /// Failure rate without penalty: calls that an instance makes for its requests fail
     /// occasionally.
     pub tolerated_failure_rate: f64,
     /// Factor on the latency of an instance that is still cold after its start.
     pub cold_latency_factor: f64,
+    /// Factor on the used part of a link in comparison with that of the slots: a link that is nearly
+    /// full delays each request on it.
+    pub link_factor: f64,
     /// Latency that an instance gains from empty to full, relative to its latency when empty.
     pub slowdown_when_full: f64,
     /// Utilization above which requests wait for a slot now and then.
@@ -71,6 +75,7 @@
             tolerated_failure_rate: 0.1,
             // The platform's instances take twice as long while cold.
             cold_latency_factor: 2.0,
+            link_factor: 1.2,
             slowdown_when_full: 0.2,
             wait_above: 0.6,
             wait_when_full: 2.0,
@@ -87,8 +92,9 @@
     born: UnixMillis,
     in_flight: u32,
     reported: Option<Reported>,
-    /// Requests sent since the load was reported.
+    /// Requests sent since the load was reported, and their bytes.
     sent_since: u32,
+    bytes_since: u64,
     relative_latency: f64,
     /// Results of this daemon's own requests to the instance.
     health: Health,
@@ -148,6 +154,9 @@
 /// answers of all instances.
 const ROUTE_LATENCY_SMOOTHING: f64 = 0.02;
 
+/// Bodies from this size on count as large: they take a slow link longer than a hop between zones.
+const LARGE_BODY_BYTES: usize = 16 * 1024;
+
 /// Number of random instances of the local zone that a choice compares. More would send all callers
 /// that have the same reports to the same instance.
 const LOCAL_SAMPLE: u64 = 3;
@@ -196,11 +205,9 @@
             let last = pick(candidates, random_pair.0).copied();
             return last.filter(|_| allow_unreachable);
         }
-        let lowest_rate = reachable
-            .iter()
-            .map(|entry| self.failure_rate(entry, now))
-            .fold(1.0, f64::min);
-        let accepted_rate = lowest_rate.max(self.cfg.tolerated_failure_rate);
+        let accepted_rate = self
+            .common_failure_rate(&reachable, now)
+            .max(self.cfg.tolerated_failure_rate);
         let cost_of = |entry: &Entry| self.cost(entry, accepted_rate, now);
         let best_local = self
             .sample_local(&reachable, random_pair)
@@ -232,6 +239,15 @@
         .min_by(|a, b| zone_cost(a).total_cmp(&zone_cost(b)))
     }
 
+    /// Whether a request with a body of this size stays on this machine, whose instance is given: a
+    /// large body then takes no link a second time.
+    #[must_use]
+    pub fn stays_local(&self, own: &Entry, body_bytes: usize, now: Instant) -> bool {
+        body_bytes >= LARGE_BODY_BYTES
+            && !self.is_paused(own, now)
+            && self.cost(own, self.cfg.tolerated_failure_rate, now) < self.cfg.local_zone_max_cost
+    }
+
     /// Returns up to [`LOCAL_SAMPLE`] random instances of the local zone, each once.
     fn sample_local<'a>(
         &self,
@@ -257,6 +273,20 @@
         sample.into_iter()
     }
 
+    /// Returns the failure rate that a quarter of the instances does not exceed. The lowest rate of
+    /// hundreds that all fail alike is far below the others by chance.
+    fn common_failure_rate(&self, instances: &[&Entry], now: Instant) -> f64 {
+        let mut rates: Vec<f64> = instances
+            .iter()
+            .map(|entry| self.failure_rate(entry, now))
+            .collect();
+        let index = rates.len().saturating_sub(1) / 4;
+        if rates.is_empty() {
+            return 0.0;
+        }
+        *rates.select_nth_unstable_by(index, f64::total_cmp).1
+    }
+
     /// Returns the recent failure rate of an instance: the higher of the one that its daemon
     /// reported and the one of this daemon's requests.
     fn failure_rate(&self, entry: &Entry, now: Instant) -> f64 {
@@ -275,7 +305,9 @@
     #[must_use]
     pub fn cost(&self, entry: &Entry, accepted_rate: f64, now: Instant) -> f64 {
         let excess_rate = (self.failure_rate(entry, now) - accepted_rate).max(0.0);
-        let utilization = self.utilization(entry, now);
+        let utilization = self
+            .slot_utilization(entry, now)
+            .max(self.cfg.link_factor * self.link_utilization(entry, now));
         let excess_utilization = (utilization - self.cfg.wait_above).max(0.0);
         let wait =
             self.cfg.wait_when_full * (excess_utilization / (1.0 - self.cfg.wait_above)).powi(2);
@@ -284,8 +316,26 @@
             + self.cfg.failure_penalty * excess_rate
     }
 
+    /// Returns the used part of the link of the instance's machine.
+    fn link_utilization(&self, entry: &Entry, now: Instant) -> f64 {
+        let Some(stats) = self.current_stats(entry) else {
+            return 0.0;
+        };
+        let Some(reported) = stats.reported else {
+            return 0.0;
+        };
+        if now.saturating_duration_since(reported.at) > self.cfg.load_max_age {
+            return 0.0;
+        }
+        let capacity = link::capacity_bytes(entry.member.link_mbps, self.cfg.load_max_age);
+        // A few MB are exact in a float.
+        #[allow(clippy::cast_precision_loss)]
+        let sent = stats.bytes_since as f64 / capacity;
+        f64::from(reported.report.link_permille) / 1e3 + sent
+    }
+
     /// Returns the part of the slots that is in use, including the next request.
-    fn utilization(&self, entry: &Entry, now: Instant) -> f64 {
+    fn slot_utilization(&self, entry: &Entry, now: Instant) -> f64 {
         let slots = entry.member.instance.as_ref().map_or(1, |info| info.slots);
         let slots = f64::from(slots.max(1));
         let Some(stats) = self.current_stats(entry) else {
@@ -331,6 +381,11 @@
         stats.sent_since += 1;
     }
 
+    /// Records the size of a request that is sent to an instance over the network.
+    pub fn bytes_sent(&mut self, entry: &Entry, bytes: u64) {
+        self.stats_mut(entry).bytes_since += bytes;
+    }
+
     /// Records the end of an attempt.
     pub fn attempt_ended(
         &mut self,
@@ -397,6 +452,7 @@
             source,
         });
         stats.sent_since = 0;
+        stats.bytes_since = 0;
     }
 
     /// Returns the last report of a daemon if it came directly, within `max_age`.
@@ -466,6 +522,7 @@
             in_flight: 0,
             reported: None,
             sent_since: 0,
+            bytes_since: 0,
             relative_latency: 1.0,
             health: Health::default(),
             pauses: 0,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod health;
 pub mod instance;
 pub mod latency;
+pub mod link;
 pub mod moves;
 pub mod retry_budgets;
 pub mod stored_members;
 pub mod table;
+pub mod transfers;
 pub mod wire;
 
 pub use admission::AdmissionController;
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -9,3 +9,4 @@
 mod placement;
 mod stored_members;
 mod table;
+mod transfers;
--- a/crates/mesh/src/tests/balancer.rs
+++ b/crates/mesh/src/tests/balancer.rs
@@ -35,6 +35,7 @@
             }),
             is_open: true,
             strength: 1,
+            link_mbps: 1000,
         },
         received_at: now,
     }
@@ -49,6 +50,7 @@
         },
         failures_permille,
         latency_permille: 0,
+        link_permille: 0,
     }
 }
 
--- a/crates/mesh/src/tests/directory.rs
+++ b/crates/mesh/src/tests/directory.rs
@@ -33,6 +33,7 @@
         }),
         is_open: pick(211, 5) > 0,
         strength: pick(3, 4),
+        link_mbps: 1000,
     }
 }
 
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -92,6 +92,7 @@
         instance: None,
         is_open: true,
         strength: 1,
+        link_mbps: 1000,
     }
 }
 
--- a/crates/mesh/src/tests/placement.rs
+++ b/crates/mesh/src/tests/placement.rs
@@ -77,6 +77,7 @@
             },
             failures_permille: 0,
             latency_permille: self.latency[index].permille(),
+            link_permille: 0,
         }
     }
 }
@@ -99,6 +100,7 @@
             }),
             is_open: true,
             strength: 1,
+            link_mbps: 1000,
         },
         received_at: now,
     }
--- a/crates/mesh/src/tests/stored_members.rs
+++ b/crates/mesh/src/tests/stored_members.rs
@@ -20,6 +20,7 @@
         instance: None,
         is_open: true,
         strength: 1,
+        link_mbps: 1000,
     }
 }
 
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -46,6 +46,8 @@
     pub is_open: bool,
     /// Capacity of the machine for leading its zone.
     pub strength: Strength,
+    /// Bandwidth of the machine's network link, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 impl Member {
@@ -114,6 +116,17 @@
     Rejected(NotRun),
     /// The request may have run.
     Unknown,
+    /// The body of the request may be sent now; only in replies to [`TransferHead`].
+    Granted,
+}
+
+/// Asks for a grant to send a large body.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TransferHead {
+    /// Head of the request that follows the grant.
+    pub head: ForwardHead,
+    /// Size of the body, in bytes.
+    pub bytes: u64,
 }
 
 /// Head of the reply to a forwarded request.
@@ -163,6 +176,8 @@
     pub failures_permille: u16,
     /// Latency relative to all instances on the same routes, in thousandths; 0 while unknown.
     pub latency_permille: u16,
+    /// Used part of the machine's network link, in thousandths.
+    pub link_permille: u16,
 }
 
 /// State of the instance beside another daemon.
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -244,6 +244,7 @@
             }),
             is_open: !self.closing.is_set(),
             strength: strength(boot.cpu_permille, boot.link_mbps),
+            link_mbps: boot.link_mbps,
         }
     }
 }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -25,7 +25,6 @@
 use mesh::latency::RelativeLatency;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
-use mesh::wire::LoadReport;
 use protocol::call::Load;
 use protocol::call::NotRun;
 use protocol::call::NotRunReason;
@@ -48,10 +47,10 @@
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
 
 /// Shortest retry delay sent with a refusal: about the time until one of a few slots is free.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Longest retry delay sent with a refusal; clients have less than two seconds in total.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const MAX_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout for connecting to the instance on the same machine; a connection takes 1 ms there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -145,13 +144,14 @@
         self.health.borrow().failures_permille(now)
     }
 
-    /// Returns the state of the instance for replies and gossip.
-    pub fn report(&self, now: Instant) -> LoadReport {
-        LoadReport {
-            load: self.load(),
-            failures_permille: self.failures(now),
-            latency_permille: self.latency.borrow().permille(),
-        }
+    /// Builds a refusal with the time after which a slot is expected.
+    pub fn not_run(&self, reason: NotRunReason) -> NotRun {
+        self.admission.borrow().not_run(reason)
+    }
+
+    /// Returns the latency of the instance relative to the others, in thousandths; 0 while unknown.
+    pub fn latency_permille(&self) -> u16 {
+        self.latency.borrow().permille()
     }
 
     /// Sets the address of the instance; if it changed, discards idle connections to the earlier
@@ -406,12 +406,12 @@
     }
 
     fn refuse(&self, reason: NotRunReason) -> Dispatched {
-        let not_run = self.dispatcher.admission.borrow().not_run(reason);
+        let not_run = self.dispatcher.not_run(reason);
         Dispatched::without_answer(ForwardOutcome::NotRun(not_run))
     }
 
     /// Returns why the local instance is not the one that the request was routed to.
-    fn mismatch(&self, head: &ForwardHead) -> Option<NotRunReason> {
+    pub(crate) fn mismatch(&self, head: &ForwardHead) -> Option<NotRunReason> {
         let interval = self.boot.borrow().heartbeat_interval;
         let local = self.local.borrow();
         let Some(heartbeat) = local.serving(interval, Instant::now()) else {
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -14,6 +14,8 @@
 use http_edge::Response;
 use mesh::balancer::ReportSource;
 use mesh::directory::Entry;
+use mesh::link::Direction;
+use mesh::transfers::needs_grant;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
 use mesh::wire::ForwardReply;
@@ -29,6 +31,7 @@
 use crate::logs::EventClass;
 use crate::node::Node;
 use crate::node::SharedNode;
+use crate::transfer::TRANSFER_PATH;
 
 /// Path that serves the active configuration to peers.
 pub const CONFIG_PATH: &str = "/inner/config";
@@ -61,6 +64,14 @@
     Lost(&'static str),
 }
 
+/// What follows from the reply to the request for a grant.
+enum GrantStep {
+    /// The body may be sent.
+    Send,
+    /// The attempt ends without the request having been sent.
+    End(ForwardResult),
+}
+
 impl Node {
     /// Sends a request to the daemon of the chosen instance, or dispatches it here if that is this
     /// daemon.
@@ -69,7 +80,7 @@
         if member.daemon == self.name() {
             let result = self.dispatch(head, req.clone(), Instant::now()).await;
             let now = Instant::now();
-            let report = self.dispatcher.report(now);
+            let report = self.load_report();
             let mut balancer = self.balancer.borrow_mut();
             balancer.record_report(to, report, ReportSource::Direct, now);
             return ForwardResult::Replied(result);
@@ -84,6 +95,27 @@
         let forwarded_req = req
             .clone()
             .with_header(CALL_HEADER, codec::encode_header_value(head));
+        if needs_grant(req.body.len(), member.link_mbps) {
+            let timeout = Duration::from_millis(u64::from(head.full_value_ms)) + REPLY_GRACE;
+            let answered = monoio::select! {
+                answered = self.request_grant(&mut conn, head, req.body.len(), timeout) => answered,
+                () = self.wait_for_silence(&member.daemon, member.address) => {
+                    Err(CallError::TimedOut)
+                }
+            };
+            match self.after_grant_request(to, head, answered) {
+                GrantStep::Send => {}
+                GrantStep::End(result) => {
+                    if !matches!(result, ForwardResult::Unreachable) {
+                        self.peer_conns.put(conn);
+                    }
+                    return result;
+                }
+            }
+        }
+        let bytes = forwarded_req.wire_size();
+        self.record_transfer(Direction::Out, bytes);
+        self.balancer.borrow_mut().bytes_sent(to, bytes);
         let timeout = Duration::from_millis(u64::from(head.left_ms)) + REPLY_GRACE;
         let answered = monoio::select! {
             answered = conn.call(forwarded_req, timeout) => answered,
@@ -98,11 +130,42 @@
                 return ForwardResult::Lost("no reply from the daemon of the instance");
             }
         };
+        self.record_transfer(Direction::In, res.wire_size());
         self.peer_conns.put(conn);
         self.record_contact(&member.daemon);
         self.handle_reply(to, res)
     }
 
+    /// Decides whether a body is sent, from the reply to the request for a grant.
+    fn after_grant_request(
+        &self,
+        to: &Entry,
+        head: &ForwardHead,
+        answered: Result<Response, CallError>,
+    ) -> GrantStep {
+        let res = match answered {
+            Ok(res) => res,
+            Err(e) => {
+                self.log_call_failure("grant-missing", head, &to.member, &e.to_string());
+                return GrantStep::End(ForwardResult::Unreachable);
+            }
+        };
+        self.record_contact(&to.member.daemon);
+        match self.handle_reply(to, res) {
+            ForwardResult::Replied(Dispatched {
+                outcome: ForwardOutcome::Granted,
+                ..
+            }) => GrantStep::Send,
+            ForwardResult::Replied(dispatched) => {
+                GrantStep::End(ForwardResult::Replied(dispatched))
+            }
+            // The request itself was not sent.
+            ForwardResult::Unreachable | ForwardResult::Lost(_) => {
+                GrantStep::End(ForwardResult::Unreachable)
+            }
+        }
+    }
+
     fn log_call_failure(&self, event: &'static str, head: &ForwardHead, to: &Member, reason: &str) {
         self.event_log.emit(
             EventClass::Failure,
@@ -202,6 +265,12 @@
         {
             return Response::new(StatusCode::OK, body);
         }
+        if req.path() == TRANSFER_PATH && req.header(CALL_HEADER).is_none() {
+            return match self.node.answer_grant(&req).await {
+                Some(outcome) => self.node.encode_reply(outcome, None),
+                None => Response::text(StatusCode::BAD_REQUEST, "unreadable head"),
+            };
+        }
         let head = req
             .header(CALL_HEADER)
             .map(codec::decode_header_value::<ForwardHead>);
@@ -209,21 +278,29 @@
             log::warn!("peer request with a missing or unreadable head");
             return Response::text(StatusCode::BAD_REQUEST, "unreadable head");
         };
+        self.node.record_transfer(Direction::In, req.wire_size());
         req.headers.remove(CALL_HEADER);
+        self.node.transfers.end(&head.request);
         let result = Box::pin(self.node.dispatch(&head, req, Instant::now())).await;
-        let member = match &result.outcome {
-            ForwardOutcome::NotRun(not_run) => self.node.corrected_announcement(not_run.reason),
+        self.node.encode_reply(result.outcome, result.res)
+    }
+}
+
+impl Node {
+    /// Builds the reply to a peer from the outcome of its request and the response of the instance.
+    fn encode_reply(&self, outcome: ForwardOutcome, res: Option<Response>) -> Response {
+        let member = match &outcome {
+            ForwardOutcome::NotRun(not_run) => self.corrected_announcement(not_run.reason),
             _ => None,
         };
         let reply = ForwardReply {
-            outcome: result.outcome,
-            report: self.node.dispatcher.report(Instant::now()),
-            config: self.node.active_table.borrow().version(),
+            outcome,
+            report: self.load_report(),
+            config: self.active_table.borrow().version(),
             member,
         };
-        let res = result
-            .res
-            .unwrap_or_else(|| Response::new(StatusCode::SERVICE_UNAVAILABLE, ""));
+        let res = res.unwrap_or_else(|| Response::new(StatusCode::SERVICE_UNAVAILABLE, ""));
+        self.record_transfer(Direction::Out, res.wire_size());
         res.with_header(OUTCOME_HEADER, codec::encode_header_value(&reply))
     }
 }
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -334,7 +334,7 @@
         Gossip {
             members,
             config: self.active_table.borrow().version(),
-            report: self.dispatcher.report(Instant::now()),
+            report: self.load_report(),
             evidence: evidence.flatten(),
             moves: moves.records().cloned().collect(),
             claim: self.claim(),
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -14,6 +14,7 @@
 use mesh::balancer::Observation;
 use mesh::config::Route;
 use mesh::directory::Entry;
+use mesh::link::Direction;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
 use protocol::call::NotRun;
@@ -62,7 +63,11 @@
     async fn handle(&self, req: Request) -> Response {
         // Boxed because there are many idle connections: the state of a request takes memory only
         // while the request runs.
-        Box::pin(self.node.serve(req)).await
+        let node = &self.node;
+        node.record_transfer(Direction::In, req.wire_size());
+        let res = Box::pin(node.serve(req)).await;
+        node.record_transfer(Direction::Out, res.wire_size());
+        res
     }
 }
 
@@ -182,7 +187,8 @@
 
     async fn run_attempts(&self, mut state: RequestState, req: &Request) -> Response {
         loop {
-            let Some(entry) = self.choose_instance(&state.service, &state.tried) else {
+            let Some(entry) = self.choose_instance(&state.service, &state.tried, req.body.len())
+            else {
                 return self.refuse_without_instance(&state);
             };
             let head = forward_head(&state, &entry);
@@ -241,6 +247,10 @@
                 ForwardOutcome::Unknown => {
                     self.after_lost_attempt(state, entry, "no response from the instance")
                 }
+                // A grant does not answer a request.
+                ForwardOutcome::Granted => {
+                    self.after_lost_attempt(state, entry, "unexpected reply")
+                }
             },
         }
     }
@@ -405,6 +415,7 @@
                 _ => Observation::Success(Duration::from_millis(u64::from(*took_ms))),
             },
             ForwardOutcome::Rejected(_) | ForwardOutcome::Unknown => Observation::Failed,
+            ForwardOutcome::Granted => Observation::Neutral,
             ForwardOutcome::NotRun(not_run) => match not_run.reason {
                 NotRunReason::Unreachable => Observation::Unreachable,
                 _ => Observation::Neutral,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod run;
 mod slot;
 mod store_sync;
+mod transfer;
 
 #[cfg(test)]
 mod tests;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -32,11 +32,14 @@
 use mesh::election::Role;
 use mesh::election::strength;
 use mesh::instance::Change;
+use mesh::link::Direction;
+use mesh::link::LinkMeter;
 use mesh::moves::Moves;
 use mesh::moves::VersionFilter;
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
+use mesh::wire::LoadReport;
 use mesh::wire::Member;
 use mesh::wire::MemberRevision;
 use rand::Rng;
@@ -52,6 +55,7 @@
 use crate::dispatch::InstanceDispatcher;
 use crate::logs::EventClass;
 use crate::logs::EventLog;
+use crate::transfer::TransferGate;
 
 /// Idle time after which a connection to a peer is not reused; shorter than the time after which
 /// the peer's server closes it.
@@ -94,10 +98,13 @@
     /// When this daemon first saw each order, by the order's offset.
     pub order_first_seen: RefCell<FastMap<Offset, Instant>>,
     pub dispatcher: InstanceDispatcher,
+    pub transfers: TransferGate,
     pub peer_conns: Pool,
     pub store: StoreClient,
     pub metrics: Metrics,
     pub event_log: EventLog,
+    /// Traffic of clients and peers on the machine's network link.
+    pub link: RefCell<LinkMeter>,
     /// Set once the members were read from the store or from a peer.
     pub has_loaded_members: Cell<bool>,
     /// Set when the shutdown begins; the daemon is no longer ready for clients then.
@@ -152,10 +159,12 @@
             canary: RefCell::default(),
             order_first_seen: RefCell::default(),
             dispatcher: InstanceDispatcher::new(boot.instance_address),
+            transfers: TransferGate::new(boot.link_mbps),
             peer_conns: Pool::new(pool_cfg),
             store: StoreClient::new(boot.store_address),
             metrics,
             event_log: EventLog::new(Instant::now()),
+            link: RefCell::new(LinkMeter::new(Instant::now())),
             has_loaded_members: Cell::new(false),
             stopping: Latch::default(),
             closing: Latch::default(),
@@ -173,6 +182,27 @@
         self.boot.borrow().daemon.clone()
     }
 
+    /// Returns the state of the local instance for replies and gossip.
+    pub fn load_report(&self) -> LoadReport {
+        let now = Instant::now();
+        LoadReport {
+            load: self.dispatcher.load(),
+            failures_permille: self.dispatcher.failures(now),
+            latency_permille: self.dispatcher.latency_permille(),
+            link_permille: self
+                .link
+                .borrow()
+                .permille(self.boot.borrow().link_mbps, now),
+        }
+    }
+
+    /// Records bytes on the machine's network link.
+    pub fn record_transfer(&self, direction: Direction, bytes: u64) {
+        self.link
+            .borrow_mut()
+            .record(direction, bytes, Instant::now());
+    }
+
     /// Returns a random number from a generator seeded with the daemon's name and incarnation.
     pub fn random(&self) -> u64 {
         self.rng.borrow_mut().random()
@@ -309,8 +339,14 @@
         retry_budgets.resize(boot.retry_ratio, boot.retry_slack, members);
     }
 
-    /// Chooses an instance of a service that was not tried yet and whose version takes the request.
-    pub fn choose_instance(&self, service: &ServiceName, tried: &[DaemonId]) -> Option<Entry> {
+    /// Chooses an instance of a service that was not tried yet and whose version takes the request,
+    /// for a request with a body of this size.
+    pub fn choose_instance(
+        &self,
+        service: &ServiceName,
+        tried: &[DaemonId],
+        body_bytes: usize,
+    ) -> Option<Entry> {
         let (random, random_pair) = (self.random(), RandomPair(self.random(), self.random()));
         let now = Instant::now();
         let directory = self.directory.borrow();
@@ -322,6 +358,14 @@
             .filter(|entry| !tried.contains(&entry.member.daemon))
             .collect();
         let balancer = self.balancer.borrow();
+        let own_name = self.name();
+        let own = untried
+            .iter()
+            .find(|entry| entry.member.daemon == own_name)
+            .filter(|own| balancer.stays_local(own, body_bytes, now));
+        if let Some(own) = own {
+            return Some((*own).clone());
+        }
         // A retry is not sent to instances that were unreachable recently.
         let is_first_attempt = tried.is_empty();
         balancer
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -248,6 +248,7 @@
     loop {
         monoio::time::sleep(QUEUE_CHECK_INTERVAL).await;
         node.dispatcher.process_queue();
+        node.transfers.process_queue();
         if flushed.get().elapsed() >= logs::FLUSH_INTERVAL {
             flushed.set(Instant::now());
             let load = node.dispatcher.load();
--- a/crates/sidecar/tests/end_to_end.rs
+++ b/crates/sidecar/tests/end_to_end.rs
@@ -21,6 +21,7 @@
 use http_edge::Response;
 use http_edge::Server;
 use http_edge::ServerCfg;
+use monoio::io::AsyncWriteRentExt;
 use sidecar::run::Daemon;
 use standin_store::StoreService;
 use users_platform::BootConfig;
@@ -122,7 +123,17 @@
     }
 
     async fn send_request(&self, method: http::Method, path: &str, id: &str) -> Response {
-        let req = Request::new(method, path, "")
+        self.send_body(method, path, id, Vec::new()).await
+    }
+
+    async fn send_body(
+        &self,
+        method: http::Method,
+        path: &str,
+        id: &str,
+        body: Vec<u8>,
+    ) -> Response {
+        let req = Request::new(method, path, body)
             .with_header("host", "shop.example")
             .with_header("x-request-id", id)
             .with_header("x-deadline-ms", "2000");
@@ -180,14 +191,27 @@
 fn with_fleet<F: Future<Output = (Machine, Machine)>>(
     test: u8,
     body: impl FnOnce(StoreService, Machine, Machine) -> F,
+) {
+    with_fleet_on_links(test, 1000, body);
+}
+
+/// As [`with_fleet`], on machines with links of this rate.
+fn with_fleet_on_links<F: Future<Output = (Machine, Machine)>>(
+    test: u8,
+    link_mbps: u32,
+    body: impl FnOnce(StoreService, Machine, Machine) -> F,
 ) {
     http_edge::block_on(async {
         let store = StoreService::default();
         let address = SocketAddr::new(ip(test, 1), STORE);
         let server = serve(address, Rc::new(store.clone()));
         put_config(&store, 3, "bookings");
-        let front = machine(boot(test, 2, "catalogue"), 2).await;
-        let back = machine(boot(test, 3, "bookings"), 3).await;
+        let boot = |machine, service| BootConfig {
+            link_mbps,
+            ..boot(test, machine, service)
+        };
+        let front = machine(boot(2, "catalogue"), 2).await;
+        let back = machine(boot(3, "bookings"), 3).await;
         wait_until("both daemons are ready", || {
             let is_up =
                 |machine: &Machine| machine.daemon.is_ready() && machine.daemon.member_count() == 2;
@@ -287,6 +311,68 @@
     });
 }
 
+/// Uploads on a slow link are granted in turn, and each arrives whole and once.
+#[test]
+fn large_bodies_arrive_whole_over_a_slow_link() {
+    with_fleet_on_links(9, 16, |_, front, back| async move {
+        wait_for_instance(&front).await;
+        let front = Rc::new(front);
+        let uploads: Vec<_> = (0..8_u8)
+            .map(|number| {
+                let front = Rc::clone(&front);
+                monoio::spawn(async move {
+                    let body = vec![number; 120_000];
+                    let id = format!("up-{number}");
+                    let res = front
+                        .send_body(http::Method::POST, "/book/1", &id, body)
+                        .await;
+                    (id, res)
+                })
+            })
+            .collect();
+        for (number, upload) in (0_u8..).zip(uploads) {
+            let (id, res) = upload.await;
+            let received = back.instance.received.borrow();
+            let is_same = |req: &&Request| req.header("x-request-id") == Some(id.as_str());
+            let runs: Vec<&Request> = received.iter().filter(is_same).collect();
+            // The route leaves an upload 150 ms on the network, so the last ones may be refused.
+            if res.status == StatusCode::SERVICE_UNAVAILABLE {
+                assert!(res.header("retry-after").is_some());
+                assert!(runs.is_empty(), "{id} was refused and ran");
+                continue;
+            }
+            assert_eq!(res.status, StatusCode::OK, "{id}");
+            assert_eq!(runs.len(), 1, "{id}");
+            assert!(runs[0].body.len() == 120_000 && runs[0].body.iter().all(|b| *b == number));
+        }
+        let first = front.send_body(http::Method::POST, "/book/1", "up-9", vec![9; 120_000]);
+        assert_eq!(first.await.status, StatusCode::OK);
+        let front = Rc::into_inner(front).expect("all uploads have ended");
+        (front, back)
+    });
+}
+
+#[test]
+fn an_upload_that_is_cut_never_runs() {
+    with_fleet_on_links(10, 16, |_, front, back| async move {
+        wait_for_instance(&front).await;
+        let address = SocketAddr::new(front.ip, REQUESTS);
+        let mut stream = monoio::net::TcpStream::connect(address)
+            .await
+            .expect("the daemon listens");
+        let head = "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: cut\r\n\
+                    x-deadline-ms: 2000\r\ncontent-length: 100000\r\n\r\n";
+        let sent = [head.as_bytes(), &[7; 50_000]].concat();
+        let (written, _) = stream.write_all(sent).await;
+        written.expect("the daemon reads");
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        drop(stream);
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        assert!(!back.request_ids().iter().any(|id| id == "cut"));
+        (front, back)
+    });
+}
+
 #[test]
 fn a_configuration_reaches_all_daemons_and_no_older_one_replaces_it() {
     with_fleet(5, |store, front, back| async move {
