Spend scarce retries on requests that run once, and more of them

A request that may run only once and is refused is worth more than an internal call, whose page the client retries in any case, and was sent twice at most although it had run nowhere.

Change: three quarters of the allowed ratio are used, two fifths for retries that may repeat a run; idempotent requests get none for a second after one that may run once was denied; a daemon keeps up to three retries that its requests earned. A rejected request may go to the same instance again, up to four sends, without exceeding the route's number of instances. Requests go to another zone only for half the expected latency.

--- a/crates/mesh/src/balancer.rs
+++ b/crates/mesh/src/balancer.rs
@@ -66,8 +66,8 @@
             load_max_age: Duration::from_secs(1),
             // An instance of mean latency is full there.
             local_zone_max_cost: 3.0,
-            // A request to another zone takes some milliseconds more, a few percent of its latency.
-            local_zone_factor: 0.75,
+            // While all zones are full alike, requests stay where they are.
+            local_zone_factor: 0.5,
             // Averages over the last ten answers, about a second of one caller.
             latency_smoothing: 0.1,
             // An idle instance that failed one of its last five requests counts as nearly full.
--- a/crates/mesh/src/retry_budgets.rs
+++ b/crates/mesh/src/retry_budgets.rs
@@ -1,30 +1,74 @@
 //! This daemon's part of the fleet-wide retry budget, by service.
 //!
-//! The platform limits the retries of all daemons together in any window. Each daemon spends a
-//! ratio of its own requests and an equal part of the additional allowance, so that the sum stays
-//! within the limit without communication between daemons.
+//! Handles instances that reject or lose a large part of their requests. The platform limits the
+//! retries of all daemons together in any window. Each daemon spends a ratio of its own requests and
+//! an equal part of the additional allowance, so that the sum stays within the limit without
+//! communication between daemons.
+//!
+//! While the budget is short, requests that may run only once go first: nothing else can save them,
+//! since clients retry idempotent ones after any failure. A retry after a lost answer repeats the
+//! calls of the first run, which count as retries at the services called, so those retries get a
+//! smaller part.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use base::FastMap;
 use base::ServiceName;
+use ledger::Idempotency;
 use routing::RetryBudget;
 use routing::budget::BudgetDecision;
 use routing::budget::RetryBudgetConfig;
 
-/// Retries per thousand requests at an allowed ratio of 1. Half of the allowed ratio is used, since
-/// the calls of a repeated execution count as retries at the services that it calls, and requests
-/// that never arrived add nothing to the budget.
-const USED_RATIO_PERMILLE: f64 = 500.0;
+/// Retries per thousand requests at an allowed ratio of 1. The rest is left to the repeated calls of
+/// retried runs, and to requests that never arrived, which add nothing to the budget.
+const USED_RATIO_PERMILLE: f64 = 750.0;
+
+/// Retries per thousand requests that may repeat a run, at an allowed ratio of 1.
+const REPEATED_RATIO_PERMILLE: f64 = 400.0;
 
 /// Part of the additional allowance that is used, for the same reasons.
 const USED_SLACK: f64 = 0.5;
 
+/// Unused retries that a daemon keeps at least, which it has to earn by its requests. Fewer would be
+/// lost while idempotent requests yield.
+const MIN_BURST: u64 = 3;
+
+/// Time for which idempotent requests get no retries after one that may run only once was denied.
+const YIELD_TIME: Duration = Duration::from_secs(1);
+
+/// What the last attempt of a request shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LastAttempt {
+    /// The instance said that it did not run the request.
+    Rejected,
+    /// The request may have run.
+    Lost,
+}
+
 /// Retry budgets by service.
 #[derive(Debug)]
 pub struct RetryBudgets {
-    cfg: RetryBudgetConfig,
-    budgets: FastMap<ServiceName, RetryBudget>,
+    limits: Limits,
+    budgets: FastMap<ServiceName, ServiceBudget>,
+}
+
+/// The limits of one daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Limits {
+    /// Whether this daemon's part of the allowance covers a full budget.
+    starts_full: bool,
+    all: RetryBudgetConfig,
+    repeated: RetryBudgetConfig,
+}
+
+#[derive(Debug)]
+struct ServiceBudget {
+    all: RetryBudget,
+    /// Further limit on retries that may repeat a run.
+    repeated: RetryBudget,
+    /// Until when idempotent requests get no retries.
+    yields_until: Option<Instant>,
 }
 
 impl RetryBudgets {
@@ -33,47 +77,94 @@
     #[must_use]
     pub fn new(ratio: f64, slack: f64, members: usize) -> Self {
         Self {
-            cfg: budget_config(ratio, slack, members),
+            limits: Limits::new(ratio, slack, members),
             budgets: FastMap::default(),
         }
     }
 
     /// Splits the fleet's limits anew; a change resets all budgets.
     pub fn resize(&mut self, ratio: f64, slack: f64, members: usize) {
-        let cfg = budget_config(ratio, slack, members);
-        if cfg != self.cfg {
-            self.cfg = cfg;
+        let limits = Limits::new(ratio, slack, members);
+        if limits != self.limits {
+            self.limits = limits;
             self.budgets.clear();
         }
     }
 
     /// Records a request to a service, which adds to its budget.
     pub fn request_started(&mut self, service: &ServiceName, now: Instant) {
-        self.budget(service, now).record_call();
+        let budget = self.budget(service, now);
+        budget.all.record_call();
+        budget.repeated.record_call();
     }
 
-    /// Spends one retry from the budget of a service, if there is one.
-    pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> BudgetDecision {
-        self.budget(service, now).try_spend(now)
+    /// Spends one retry from the budget of a service, if there is one for such a request.
+    pub fn try_spend(
+        &mut self,
+        service: &ServiceName,
+        last: LastAttempt,
+        repeat: Idempotency,
+        now: Instant,
+    ) -> BudgetDecision {
+        let budget = self.budget(service, now);
+        let is_idempotent = repeat == Idempotency::Idempotent;
+        if is_idempotent && budget.yields_until.is_some_and(|until| until > now) {
+            return BudgetDecision::Exhausted;
+        }
+        if last == LastAttempt::Lost && budget.repeated.try_spend(now) == BudgetDecision::Exhausted
+        {
+            return BudgetDecision::Exhausted;
+        }
+        let decision = budget.all.try_spend(now);
+        if decision == BudgetDecision::Exhausted && !is_idempotent {
+            budget.yields_until = Some(now + YIELD_TIME);
+        }
+        decision
     }
 
-    fn budget(&mut self, service: &ServiceName, now: Instant) -> &mut RetryBudget {
-        let cfg = self.cfg;
+    fn budget(&mut self, service: &ServiceName, now: Instant) -> &mut ServiceBudget {
+        let limits = self.limits;
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(cfg, now))
+            .or_insert_with(|| ServiceBudget {
+                all: limits.start(limits.all, now),
+                repeated: limits.start(limits.repeated, now),
+                yields_until: None,
+            })
     }
 }
 
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::cast_precision_loss
-)]
-fn budget_config(ratio: f64, slack: f64, members: usize) -> RetryBudgetConfig {
-    RetryBudgetConfig {
-        per_thousand: (ratio * USED_RATIO_PERMILLE).max(0.0) as u64,
-        floor_per_second: 0,
-        burst: (slack * USED_SLACK / members.max(1) as f64).max(1.0) as u64,
+impl Limits {
+    fn start(self, cfg: RetryBudgetConfig, now: Instant) -> RetryBudget {
+        if self.starts_full {
+            RetryBudget::new(cfg, now)
+        } else {
+            RetryBudget::empty(cfg, now)
+        }
     }
+
+    fn new(ratio: f64, slack: f64, members: usize) -> Self {
+        let burst = slack * USED_SLACK / count(members.max(1));
+        let limit = |permille: f64| RetryBudgetConfig {
+            per_thousand: whole(ratio * permille),
+            floor_per_second: 0,
+            burst: whole(burst).max(MIN_BURST),
+        };
+        Self {
+            starts_full: whole(burst) >= MIN_BURST,
+            all: limit(USED_RATIO_PERMILLE),
+            repeated: limit(REPEATED_RATIO_PERMILLE),
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn count(members: usize) -> f64 {
+    members as f64
+}
+
+/// Truncates to an integer; a negative number becomes 0.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(number: f64) -> u64 {
+    number.max(0.0) as u64
 }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// Creates an empty budget, which calls and time fill.
+    #[must_use]
+    pub fn empty(cfg: RetryBudgetConfig, now: Instant) -> Self {
+        Self {
+            tokens: 0,
+            ..Self::new(cfg, now)
+        }
+    }
+
     /// Records a new call, which adds `per_thousand` tokens to the budget.
     pub fn record_call(&mut self) {
         self.add_tokens(self.cfg.per_thousand);
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -11,10 +11,10 @@
 use http_edge::Request;
 use http_edge::Response;
 use ledger::Idempotency;
-use mesh::balancer::Observation;
 use mesh::config::Route;
 use mesh::directory::Entry;
 use mesh::link::Direction;
+use mesh::retry_budgets::LastAttempt;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
 use protocol::call::NotRun;
@@ -27,6 +27,8 @@
 use users_platform::responses;
 use users_platform::responses::DaemonResponse;
 
+use crate::attempt::Attempt;
+use crate::attempt::observation;
 use crate::dispatch::Dispatched;
 use crate::forward::ForwardResult;
 use crate::forward::not_sent;
@@ -41,6 +43,9 @@
 /// from a handful of instances indicate that the service is full.
 const MAX_REFUSALS: usize = 3;
 
+/// Times that a request may be sent to instances that reject it.
+const MAX_SENDS: u32 = 4;
+
 /// Divisor of the time in which an answer has its full value. A request that is refused after that
 /// fraction of it is not sent to another instance, where it would queue again while the client could
 /// retry later.
@@ -83,13 +88,33 @@
     config: mesh::ConfigVersion,
     tried: Vec<DaemonId>,
     /// Attempts in which the request may have reached an instance.
-    delivered: u32,
+    sends: u32,
+    /// Daemons of the instances that it may have reached, each once.
+    delivered_to: Vec<DaemonId>,
+    /// Daemon of the instance that rejected the request last.
+    rejected_by: Option<DaemonId>,
     /// Latest refusal by a daemon.
     last_refusal: Option<NotRun>,
     /// Daemon whose attempt was lost after the request may have run, and the reason.
     lost_attempt: Option<(DaemonId, &'static str)>,
 }
 
+impl RequestState {
+    fn record_delivery(&mut self, entry: &Entry) {
+        self.sends += 1;
+        let daemon = &entry.member.daemon;
+        if !self.delivered_to.contains(daemon) {
+            self.delivered_to.push(daemon.clone());
+        }
+    }
+
+    /// Whether the route allows the request on one more instance.
+    fn has_instances_left(&self) -> bool {
+        let reached = u32::try_from(self.delivered_to.len()).unwrap_or(u32::MAX);
+        reached < self.route.max_attempts
+    }
+}
+
 /// Next step after an attempt.
 enum NextStep {
     Answer(Response),
@@ -142,7 +167,9 @@
             route,
             config: table.version(),
             tried: Vec::new(),
-            delivered: 0,
+            sends: 0,
+            delivered_to: Vec::new(),
+            rejected_by: None,
             last_refusal: None,
             lost_attempt: None,
         };
@@ -187,8 +214,7 @@
 
     async fn run_attempts(&self, mut state: RequestState, req: &Request) -> Response {
         loop {
-            let Some(entry) = self.choose_instance(&state.service, &state.tried, req.body.len())
-            else {
+            let Some(entry) = self.next_instance(&state, req.body.len()) else {
                 return self.refuse_without_instance(&state);
             };
             let head = forward_head(&state, &entry);
@@ -205,6 +231,24 @@
         }
     }
 
+    /// Chooses an untried instance or, once the route allows no further one, the one that rejected
+    /// the request last.
+    fn next_instance(&self, state: &RequestState, body_bytes: usize) -> Option<Entry> {
+        let is_allowed = |daemon: &DaemonId| {
+            if state.has_instances_left() {
+                !state.tried.contains(daemon)
+            } else {
+                state.rejected_by.as_ref() == Some(daemon)
+            }
+        };
+        self.choose_instance(
+            &state.service,
+            is_allowed,
+            state.tried.is_empty(),
+            body_bytes,
+        )
+    }
+
     /// Answers a request for which no untried instance is left.
     fn refuse_without_instance(&self, state: &RequestState) -> Response {
         if let Some(not_run) = &state.last_refusal {
@@ -236,9 +280,10 @@
                 },
                 ForwardOutcome::NotRun(not_run) => retry_unless_exhausted(state, not_run),
                 ForwardOutcome::Rejected(not_run) => {
-                    state.delivered += 1;
+                    state.record_delivery(entry);
+                    state.rejected_by = Some(entry.member.daemon.clone());
                     state.last_refusal = Some(not_run.clone());
-                    if self.may_retry(state) {
+                    if self.may_retry(state, LastAttempt::Rejected) {
                         NextStep::Retry
                     } else {
                         NextStep::GiveUp(not_run)
@@ -261,10 +306,10 @@
         entry: &Entry,
         reason: &'static str,
     ) -> NextStep {
-        state.delivered += 1;
+        state.record_delivery(entry);
         state.lost_attempt = Some((entry.member.daemon.clone(), reason));
         let is_idempotent = state.route.repeat == Idempotency::Idempotent;
-        if is_idempotent && self.may_retry(state) {
+        if is_idempotent && self.may_retry(state, LastAttempt::Lost) {
             NextStep::Retry
         } else {
             NextStep::Unknown
@@ -273,20 +318,27 @@
 
     /// Returns whether the request may be sent to another instance; spends from the retry budget if
     /// so.
-    fn may_retry(&self, state: &RequestState) -> bool {
+    fn may_retry(&self, state: &RequestState, last: LastAttempt) -> bool {
         let now = Instant::now();
-        if state.delivered >= state.route.max_attempts || now >= state.deadline {
+        // An instance that rejected a request may get it again; one that lost it may not.
+        let is_limited = match last {
+            LastAttempt::Rejected => state.sends >= MAX_SENDS,
+            LastAttempt::Lost => !state.has_instances_left(),
+        };
+        if is_limited || now >= state.deadline {
             return false;
         }
-        let decision = self
-            .retry_budgets
-            .borrow_mut()
-            .try_spend(&state.service, now);
+        let decision = self.retry_budgets.borrow_mut().try_spend(
+            &state.service,
+            last,
+            state.route.repeat,
+            now,
+        );
         self.event_log.emit(EventClass::Failure, "repeat", now, || {
             json!({
                 "request": state.id,
                 "service": state.service,
-                "sent": state.delivered,
+                "sent": state.sends,
                 "granted": decision == BudgetDecision::Granted,
             })
         });
@@ -405,57 +457,3 @@
         config: state.config,
     }
 }
-
-fn observation(result: &ForwardResult) -> Observation {
-    match result {
-        ForwardResult::Unreachable | ForwardResult::Lost(_) => Observation::Unreachable,
-        ForwardResult::Replied(dispatched) => match &dispatched.outcome {
-            ForwardOutcome::Answered { took_ms } => match &dispatched.res {
-                Some(res) if res.status.is_server_error() => Observation::Failed,
-                _ => Observation::Success(Duration::from_millis(u64::from(*took_ms))),
-            },
-            ForwardOutcome::Rejected(_) | ForwardOutcome::Unknown => Observation::Failed,
-            ForwardOutcome::Granted => Observation::Neutral,
-            ForwardOutcome::NotRun(not_run) => match not_run.reason {
-                NotRunReason::Unreachable => Observation::Unreachable,
-                _ => Observation::Neutral,
-            },
-        },
-    }
-}
-
-/// An attempt in progress; recorded as ended when dropped, also if the client disconnects.
-struct Attempt<'a> {
-    node: &'a Node,
-    entry: &'a Entry,
-    route: &'a Route,
-    observation: Observation,
-}
-
-impl<'a> Attempt<'a> {
-    fn start(node: &'a Node, entry: &'a Entry, route: &'a Route) -> Self {
-        node.balancer.borrow_mut().attempt_started(entry);
-        Self {
-            node,
-            entry,
-            route,
-            observation: Observation::Neutral,
-        }
-    }
-
-    fn end(mut self, observation: Observation) {
-        self.observation = observation;
-    }
-}
-
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
-        let mut balancer = self.node.balancer.borrow_mut();
-        balancer.attempt_ended(
-            self.entry,
-            &self.route.name,
-            self.observation,
-            Instant::now(),
-        );
-    }
-}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 //! Entry point: [`run`], which starts all tasks and stops them in order.
 
 mod announce;
+mod attempt;
 mod compression;
 mod control;
 mod dispatch;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -339,12 +339,13 @@
         retry_budgets.resize(boot.retry_ratio, boot.retry_slack, members);
     }
 
-    /// Chooses an instance of a service that was not tried yet and whose version takes the request,
-    /// for a request with a body of this size.
+    /// Chooses an instance of a service among the allowed daemons whose version takes the request, for
+    /// a request with a body of this size.
     pub fn choose_instance(
         &self,
         service: &ServiceName,
-        tried: &[DaemonId],
+        is_allowed: impl Fn(&DaemonId) -> bool,
+        is_first_attempt: bool,
         body_bytes: usize,
     ) -> Option<Entry> {
         let (random, random_pair) = (self.random(), RandomPair(self.random(), self.random()));
@@ -352,14 +353,14 @@
         let directory = self.directory.borrow();
         let moves = self.moves.borrow();
         let serving: Vec<&Entry> = directory.serving(service).collect();
-        let allowed = filter_versions(&serving, moves.version_filter(service, random));
-        let untried: Vec<&Entry> = allowed
-            .into_iter()
-            .filter(|entry| !tried.contains(&entry.member.daemon))
-            .collect();
+        let candidates: Vec<&Entry> =
+            filter_versions(&serving, moves.version_filter(service, random))
+                .into_iter()
+                .filter(|entry| is_allowed(&entry.member.daemon))
+                .collect();
         let balancer = self.balancer.borrow();
         let own_name = self.name();
-        let own = untried
+        let own = candidates
             .iter()
             .find(|entry| entry.member.daemon == own_name)
             .filter(|own| balancer.stays_local(own, body_bytes, now));
@@ -367,9 +368,8 @@
             return Some((*own).clone());
         }
         // A retry is not sent to instances that were unreachable recently.
-        let is_first_attempt = tried.is_empty();
         balancer
-            .choose(&untried, random_pair, is_first_attempt, now)
+            .choose(&candidates, random_pair, is_first_attempt, now)
             .cloned()
     }
 
