Assume service times from the target latency until requests have ended

Cause: after a restart the first 50 ms were assumed for each request, so up to 128 requests queued at an instance that answers 360 ms each while cold; they were refused hundreds of milliseconds later.

Change: a route's first service time is a third of the time to the full value, twice that while the instance is cold, and the first measurements weigh more. Test: a_started_instance_queues_only_what_it_can_answer_in_time.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -21,7 +21,7 @@
 use crate::config::RouteName;
 
 /// Inverse weight of the latest request in the mean service time: the mean adapts within some dozen
-/// requests, about a second of one instance.
+/// requests, about a second of one instance. The first requests weigh more.
 const SERVICE_TIME_INVERSE_WEIGHT: u32 = 16;
 
 /// Parameters of an [`AdmissionController`].
@@ -31,8 +31,6 @@
     pub slots: u32,
     /// Maximum number of waiting requests.
     pub max_queued: usize,
-    /// Service time assumed until the first request has ended.
-    pub initial_service_time: Duration,
     /// Shortest retry-after of a refusal.
     pub min_retry_after: Duration,
     /// Longest retry-after of a refusal.
@@ -52,6 +50,9 @@
     pub full_value_until: Instant,
     /// Time at which the client gives up.
     pub deadline: Instant,
+    /// Service time assumed until requests of the route have ended. After a restart the first requests
+    /// come all at once; with too low a value they would queue until they are late.
+    pub expected_service_time: Duration,
 }
 
 #[derive(Debug)]
@@ -107,8 +108,27 @@
     total_slot_time: f64,
     /// Moving average of the ratio of actual to expected waits of long requests.
     wait_ratio: f64,
-    service_time: Duration,
-    by_route: FastMap<RouteName, Duration>,
+    service_time: MeanTime,
+    by_route: FastMap<RouteName, MeanTime>,
+}
+
+/// Moving average of service times, which starts with an assumed one.
+#[derive(Debug, Clone, Copy)]
+struct MeanTime {
+    mean: Duration,
+    samples: u32,
+}
+
+impl MeanTime {
+    fn assumed(mean: Duration) -> Self {
+        Self { mean, samples: 0 }
+    }
+
+    fn record(&mut self, latest: Duration) {
+        self.samples = self.samples.saturating_add(1);
+        let inverse_weight = (self.samples + 1).min(SERVICE_TIME_INVERSE_WEIGHT);
+        self.mean = (self.mean * (inverse_weight - 1) + latest) / inverse_weight;
+    }
 }
 
 impl<K: PartialEq + Clone> AdmissionController<K> {
@@ -122,13 +142,14 @@
             short_slot_time: 0.0,
             total_slot_time: 0.0,
             wait_ratio: 1.0,
-            service_time: cfg.initial_service_time,
+            service_time: MeanTime::assumed(Duration::ZERO),
             by_route: FastMap::default(),
         }
     }
 
     /// Decides on a new request: run, wait or refuse.
     pub fn offer(&mut self, request: AdmissionRequest<K>, now: Instant) -> AdmissionDecision<K> {
+        self.assume_service_time(&request);
         if self.has_free_slot() && self.queue.is_empty() {
             if now + self.service_time_of(&request.route) / 2 > request.deadline {
                 return AdmissionDecision::Refused(self.not_run(NotRunReason::DeadlineTooShort));
@@ -160,6 +181,16 @@
         }
     }
 
+    fn assume_service_time(&mut self, request: &AdmissionRequest<K>) {
+        let assumed = MeanTime::assumed(request.expected_service_time);
+        if !self.by_route.contains_key(&request.route) {
+            self.by_route.insert(request.route.clone(), assumed);
+        }
+        if self.service_time.samples == 0 {
+            self.service_time = assumed;
+        }
+    }
+
     /// Whether a request at this queue position is expected to be answered in time, by the known
     /// service times.
     fn is_worth_waiting(
@@ -181,10 +212,11 @@
     pub fn finished(&mut self, route: &RouteName, latency: Duration) {
         self.released();
         self.record_slot_time(route, latency);
-        self.service_time = update_mean(self.service_time, latency);
-        let route_mean = self.by_route.get(route).copied().unwrap_or(latency);
+        self.service_time.record(latency);
         self.by_route
-            .insert(route.clone(), update_mean(route_mean, latency));
+            .entry(route.clone())
+            .or_insert(MeanTime::assumed(latency))
+            .record(latency);
     }
 
     fn record_slot_time(&mut self, route: &RouteName, latency: Duration) {
@@ -287,7 +319,7 @@
 
     /// Discards the service times of the previous instance.
     pub fn reset_service_times(&mut self) {
-        self.service_time = self.cfg.initial_service_time;
+        self.service_time = MeanTime::assumed(Duration::ZERO);
         self.by_route.clear();
         self.short_slot_time = 0.0;
         self.total_slot_time = 0.0;
@@ -336,7 +368,7 @@
     /// requests it includes the short ones that arrive later and overtake them.
     fn expected_wait_at(&self, position: usize, length: Length) -> Duration {
         let slots_needed = u32::try_from(position + 1).unwrap_or(u32::MAX);
-        let wait = self.service_time.saturating_mul(slots_needed) / self.cfg.slots.max(1);
+        let wait = self.service_time.mean.saturating_mul(slots_needed) / self.cfg.slots.max(1);
         match length {
             Length::Short => wait,
             Length::Long => wait.mul_f64(self.wait_ratio / (1.0 - self.short_share())),
@@ -348,7 +380,7 @@
     }
 
     fn length_of(&self, route: &RouteName) -> Length {
-        if self.service_time_of(route) * 1000 < self.service_time * SHORT_PERMILLE {
+        if self.service_time_of(route) * 1000 < self.service_time.mean * SHORT_PERMILLE {
             Length::Short
         } else {
             Length::Long
@@ -358,11 +390,6 @@
     fn service_time_of(&self, route: &RouteName) -> Duration {
         self.by_route
             .get(route)
-            .copied()
-            .unwrap_or(self.service_time)
+            .map_or(self.service_time.mean, |time| time.mean)
     }
 }
-
-fn update_mean(mean: Duration, latest: Duration) -> Duration {
-    (mean * (SERVICE_TIME_INVERSE_WEIGHT - 1) + latest) / SERVICE_TIME_INVERSE_WEIGHT
-}
--- a/crates/mesh/src/tests/admission.rs
+++ b/crates/mesh/src/tests/admission.rs
@@ -15,7 +15,6 @@
 const CFG: AdmissionCfg = AdmissionCfg {
     slots: 2,
     max_queued: 4,
-    initial_service_time: Duration::from_millis(100),
     min_retry_after: Duration::from_millis(50),
     max_retry_after: Duration::from_millis(500),
 };
@@ -38,6 +37,7 @@
         rank,
         full_value_until: now + ms(full_value),
         deadline: now + ms(deadline),
+        expected_service_time: ms(100),
     }
 }
 
@@ -224,3 +224,32 @@
     }
     true
 }
+
+/// All clients return to an instance that has just started, which serves 300 ms each: what starts
+/// late is refused at once instead of queued behind requests of an assumed short time.
+#[test]
+fn a_started_instance_queues_only_what_it_can_answer_in_time() {
+    let check = |expected_ms, most_queued: usize| {
+        let now = Instant::now();
+        let cfg = AdmissionCfg {
+            slots: 13,
+            max_queued: 128,
+            ..CFG
+        };
+        let mut controller = AdmissionController::new(cfg);
+        let mut queued = 0;
+        for key in 0..300 {
+            let request = AdmissionRequest {
+                expected_service_time: ms(expected_ms),
+                ..request(key, "page", 1, 600, 1200, now)
+            };
+            if controller.offer(request, now) == AdmissionDecision::Queued {
+                queued += 1;
+            }
+        }
+        assert!(queued <= most_queued, "{queued} queued");
+    };
+    check(300, 13);
+    // The former assumption, with which ten times as many queue as can be answered in time.
+    check(50, 128);
+}
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -43,9 +43,6 @@
 /// Most queued requests. Bounds memory; each request's deadline bounds its wait.
 const MAX_QUEUED: usize = 128;
 
-/// Service time assumed before the first answer: between the users' API calls and pages.
-const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
-
 /// Shortest retry delay sent with a refusal: about the time until one of a few slots is free.
 pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -111,7 +108,6 @@
         let cfg = AdmissionCfg {
             slots: INITIAL_SLOTS,
             max_queued: MAX_QUEUED,
-            initial_service_time: INITIAL_SERVICE_TIME,
             min_retry_after: MIN_RETRY_AFTER,
             max_retry_after: MAX_RETRY_AFTER,
         };
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -16,7 +16,24 @@
 use crate::dispatch::WaitOutcome;
 use crate::node::Node;
 
+/// Divisor of the time to the full value of an answer that gives the service time assumed for a route
+/// at first; operators set that time to a few service times.
+const SERVICE_TIME_DIVISOR: u32 = 3;
+
+/// Factor on that time while the instance is cold after its start.
+const COLD_FACTOR: u32 = 2;
+
 impl Node {
+    /// Returns the service time of a request as far as its route tells.
+    fn expected_service_time(&self, head: &ForwardHead) -> Duration {
+        let full_value = Duration::from_millis(u64::from(head.full_value_ms));
+        let local = self.local.borrow();
+        let is_cold = local
+            .last_heartbeat()
+            .is_some_and(|heartbeat| !heartbeat.cold_left.is_zero());
+        full_value / SERVICE_TIME_DIVISOR * if is_cold { COLD_FACTOR } else { 1 }
+    }
+
     /// Acquires a slot of the instance, queueing if none is free. Returns `None` if the queue
     /// dropped the request without an outcome.
     pub(crate) async fn admit(
@@ -34,6 +51,7 @@
             rank: head.rank,
             full_value_until: arrived + Duration::from_millis(u64::from(head.full_value_ms)),
             deadline,
+            expected_service_time: self.expected_service_time(head),
         };
         let offer = owner
             .admission
