Let a process that stood still act on nothing that it decided before

Cause: the monotonic clock does not count the time of a suspended machine, and a request that waited unread in a socket got its full time again when it was read. A frozen daemon that woke sent such requests to its instance after their clients had been told that the outcome is unknown, and led its zone with the claims of before.

Requests read just after a wake lose that time of their deadline, queued ones are refused as not run, deadlines are checked again after each connection is opened and before a request goes to the instance, and the daemon yields leadership until it could have received claims.

--- a/crates/mesh/src/election.rs
+++ b/crates/mesh/src/election.rs
@@ -78,6 +78,7 @@
     strength: Strength,
     received: FastMap<DaemonId, ReceivedClaim>,
     last_failure: Option<Instant>,
+    last_wake: Option<Instant>,
 }
 
 impl LeaderElection {
@@ -90,6 +91,7 @@
             strength,
             received: FastMap::default(),
             last_failure: None,
+            last_wake: None,
         }
     }
 
@@ -143,11 +145,20 @@
         self.last_failure = (!is_success).then_some(now);
     }
 
-    /// Whether a recent call of this daemon to the store failed.
+    /// Records that this daemon stood still. Others may lead in its place since, so what it knows of
+    /// their claims is dropped, and it yields until it could have received new ones.
+    pub fn record_wake(&mut self, now: Instant) {
+        self.received.clear();
+        self.last_wake = Some(now);
+    }
+
+    /// Whether a recent call of this daemon to the store failed, or it has just stood still.
     #[must_use]
-    pub fn is_store_failing(&self, now: Instant) -> bool {
-        self.last_failure
-            .is_some_and(|at| now.saturating_duration_since(at) < STORE_FAILURE_BACKOFF)
+    pub fn is_yielding(&self, now: Instant) -> bool {
+        let is_within = |at: Option<Instant>, time: Duration| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < time)
+        };
+        is_within(self.last_failure, STORE_FAILURE_BACKOFF) || is_within(self.last_wake, CLAIM_TTL)
     }
 
     /// Returns this daemon's role in its zone. While its calls to the store fail, it leads only if
@@ -157,13 +168,9 @@
         let claims = self
             .claims(now)
             .filter(|(_, claim)| claim.zone == self.zone);
-        let is_store_failing = self.is_store_failing(now);
-        let preceding = claims.filter(|claim| is_store_failing || self.precedes_own(claim));
-        let limit = if is_store_failing {
-            1
-        } else {
-            LEADERS_PER_ZONE
-        };
+        let is_yielding = self.is_yielding(now);
+        let preceding = claims.filter(|claim| is_yielding || self.precedes_own(claim));
+        let limit = if is_yielding { 1 } else { LEADERS_PER_ZONE };
         if preceding.count() < limit {
             Role::Leader
         } else {
@@ -183,7 +190,7 @@
         let is_preceded = self
             .claims(now)
             .any(|claim| claim.1.zone == self.zone && self.precedes_own(&claim));
-        !is_preceded && !self.is_store_failing(now)
+        !is_preceded && !self.is_yielding(now)
     }
 
     /// Returns the other leaders of the zone.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod stored_members;
 pub mod table;
 pub mod transfers;
+pub mod wake;
 pub mod wire;
 
 pub use admission::AdmissionController;
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -11,3 +11,4 @@
 mod stored_members;
 mod table;
 mod transfers;
+mod wake;
--- a/crates/mesh/src/tests/election.rs
+++ b/crates/mesh/src/tests/election.rs
@@ -43,9 +43,7 @@
         let claims: FastMap<DaemonId, Claim> = self
             .daemons
             .iter()
-            .filter(|(name, election)| {
-                leaders.contains(name) && !election.is_store_failing(self.now)
-            })
+            .filter(|(name, election)| leaders.contains(name) && !election.is_yielding(self.now))
             .map(|(name, election)| (name.clone(), election.own_claim(0)))
             .collect();
         for (name, election) in &mut self.daemons {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -10,6 +10,7 @@
 use mesh::instance::Change;
 use mesh::instance::Heartbeat;
 use mesh::instance::Phase;
+use protocol::call::NotRunReason;
 use serde_json::json;
 use users_platform::heartbeat;
 use users_platform::heartbeat::InstanceCall;
@@ -35,7 +36,7 @@
                     || json!({ "instance": id, "change": format!("{change:?}") }),
                 );
                 if change == Change::Told {
-                    self.node.dispatcher.refuse_waiting();
+                    self.node.dispatcher.refuse_waiting(NotRunReason::Leaving);
                 }
                 heartbeat::acknowledgement()
             }
@@ -79,7 +80,7 @@
             Change::Told => {
                 self.log_state("instance-changed", || fields);
                 if phase == Phase::Draining {
-                    self.dispatcher.refuse_waiting();
+                    self.dispatcher.refuse_waiting(NotRunReason::Leaving);
                 } else {
                     self.dispatcher.set_slots(slots, born);
                 }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -52,6 +52,9 @@
 /// Timeout for connecting to the instance on the same machine; a connection takes 1 ms there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Shortest time left with which a request is sent to the instance, which counts whole milliseconds.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+
 /// Idle time after which a connection to the instance is not reused; instances close idle
 /// connections after several seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -178,12 +181,9 @@
         self.process_queue();
     }
 
-    /// Refuses all queued requests, because the instance takes no new work.
-    pub fn refuse_waiting(&self) {
-        let refused = self
-            .admission
-            .borrow_mut()
-            .refuse_waiting(NotRunReason::Leaving);
+    /// Refuses all queued requests.
+    pub fn refuse_waiting(&self, reason: NotRunReason) {
+        let refused = self.admission.borrow_mut().refuse_waiting(reason);
         for (key, not_run) in refused {
             self.notify_waiter(key, WaitOutcome::Refused(not_run));
         }
@@ -337,7 +337,13 @@
             }
         };
         let began = Instant::now();
-        let left = deadline.saturating_duration_since(began);
+        let left = deadline
+            .saturating_duration_since(began)
+            .saturating_sub(self.stood_still());
+        if left < MIN_TIME_LEFT {
+            self.dispatcher.conns.put(conn);
+            return self.refuse(NotRunReason::DeadlineTooShort);
+        }
         requests::prepare_for_instance(&mut req, &head.instance, left);
         let answered = conn.call(req, left + ANSWER_GRACE).await;
         let took = began.elapsed();
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -85,6 +85,7 @@
             balancer.record_report(to, report, ReportSource::Direct, now);
             return ForwardResult::Replied(result);
         }
+        let began = Instant::now();
         let mut conn = match self.peer_conns.take(member.address).await {
             Ok(conn) => conn,
             Err(e) => {
@@ -113,6 +114,11 @@
                 }
             }
         }
+        let delay = began.elapsed().max(self.stood_still());
+        if delay >= Duration::from_millis(u64::from(head.left_ms)) {
+            self.peer_conns.put(conn);
+            return ForwardResult::Unreachable;
+        }
         let bytes = forwarded_req.wire_size();
         self.record_transfer(Direction::Out, bytes);
         self.balancer.borrow_mut().bytes_sent(to, bytes);
@@ -281,7 +287,9 @@
         self.node.record_transfer(Direction::In, req.wire_size());
         req.headers.remove(CALL_HEADER);
         self.node.transfers.end(&head.request);
-        let result = Box::pin(self.node.dispatch(&head, req, Instant::now())).await;
+        let now = Instant::now();
+        let arrived = now.checked_sub(self.node.stood_still()).unwrap_or(now);
+        let result = Box::pin(self.node.dispatch(&head, req, arrived)).await;
         self.node.encode_reply(result.outcome, result.res)
     }
 }
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -91,7 +91,7 @@
             node.log_state("lead-changed", || {
                 json!({
                     "leads": was_leading,
-                    "failing": node.election.borrow().is_store_failing(Instant::now()),
+                    "failing": node.election.borrow().is_yielding(Instant::now()),
                 })
             });
         }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -158,6 +158,7 @@
             return responses::encode(DaemonResponse::NoRoute, &head.id);
         };
         let left = head.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+        let left = left.saturating_sub(self.stood_still());
         let state = RequestState {
             id: head.id,
             service,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -39,9 +39,11 @@
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
+use mesh::wake::WakeDetector;
 use mesh::wire::LoadReport;
 use mesh::wire::Member;
 use mesh::wire::MemberRevision;
+use protocol::call::NotRunReason;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -52,6 +54,7 @@
 use users_platform::StoreClient;
 use users_platform::operator;
 
+use crate::clock;
 use crate::dispatch::InstanceDispatcher;
 use crate::logs::EventClass;
 use crate::logs::EventLog;
@@ -103,6 +106,8 @@
     pub store: StoreClient,
     pub metrics: Metrics,
     pub event_log: EventLog,
+    started_at: Instant,
+    wake: RefCell<WakeDetector>,
     /// Traffic of clients and peers on the machine's network link.
     pub link: RefCell<LinkMeter>,
     /// Set once the members were read from the store or from a peer.
@@ -132,6 +137,7 @@
             idle_timeout: PEER_REUSE_TIMEOUT,
             ..PoolCfg::default()
         };
+        let started_at = Instant::now();
         Self {
             incarnation: Cell::new(incarnation),
             active_table: RefCell::default(),
@@ -164,7 +170,9 @@
             store: StoreClient::new(boot.store_address),
             metrics,
             event_log: EventLog::new(Instant::now()),
-            link: RefCell::new(LinkMeter::new(Instant::now())),
+            started_at,
+            wake: RefCell::new(WakeDetector::new(clock::boot_time(started_at))),
+            link: RefCell::new(LinkMeter::new(started_at)),
             has_loaded_members: Cell::new(false),
             stopping: Latch::default(),
             closing: Latch::default(),
@@ -196,6 +204,28 @@
         }
     }
 
+    /// Returns for how long a request that is read now may have waited unread, or a decision that is
+    /// carried out now may have been delayed, because the process stood still.
+    pub fn stood_still(&self) -> Duration {
+        let now = clock::boot_time(self.started_at);
+        self.wake.borrow_mut().observe(now)
+    }
+
+    /// Drops what is no longer valid if the process has just stood still; called at short intervals.
+    pub fn check_wake(&self) {
+        let woke = self
+            .wake
+            .borrow_mut()
+            .tick(clock::boot_time(self.started_at));
+        let Some(stood_still) = woke else { return };
+        self.election.borrow_mut().record_wake(Instant::now());
+        self.dispatcher.refuse_waiting(NotRunReason::GivenUp);
+        self.log_state(
+            "woke",
+            || json!({ "stood_still_ms": stood_still.as_millis() }),
+        );
+    }
+
     /// Records bytes on the machine's network link.
     pub fn record_transfer(&self, direction: Direction, bytes: u64) {
         self.link
@@ -298,7 +328,7 @@
         let election = self.election.borrow();
         let is_claimed = self.is_leader()
             && self.has_loaded_members.get()
-            && !election.is_store_failing(Instant::now());
+            && !election.is_yielding(Instant::now());
         is_claimed.then(|| election.own_claim(self.directory.borrow().digest()))
     }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -247,6 +247,7 @@
     let flushed = Cell::new(Instant::now());
     loop {
         monoio::time::sleep(QUEUE_CHECK_INTERVAL).await;
+        node.check_wake();
         node.dispatcher.process_queue();
         node.transfers.process_queue();
         if flushed.get().elapsed() >= logs::FLUSH_INTERVAL {
--- a/crates/sidecar/tests/end_to_end.rs
+++ b/crates/sidecar/tests/end_to_end.rs
@@ -362,7 +362,7 @@
             .expect("the daemon listens");
         let head = "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: cut\r\n\
                     x-deadline-ms: 2000\r\ncontent-length: 100000\r\n\r\n";
-        let sent = [head.as_bytes(), &[7; 50_000]].concat();
+        let sent = [head.as_bytes(), &vec![7; 50_000]].concat();
         let (written, _) = stream.write_all(sent).await;
         written.expect("the daemon reads");
         monoio::time::sleep(Duration::from_millis(100)).await;
