--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -31,6 +31,9 @@
 /// Delay after a 429 response without a valid `retry-after`.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest delay that a 429 response may ask for.
+const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Settings of a [`LogClient`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogCfg {
@@ -225,8 +228,12 @@
                 return Err(error);
             }
         };
-        let appended: wire::AppendResponse = decode(&check_status(res)?)?;
-        Ok(appended.offset)
+        let status = res.status;
+        let appended = check_status(res).and_then(|res| decode::<wire::AppendResponse>(&res));
+        if appended.is_err() && !is_refusal(status) {
+            *may_be_written = true;
+        }
+        Ok(appended?.offset)
     }
 
     async fn request(&self, req: Request, timeout: Duration) -> Result<Response, LogError> {
@@ -301,11 +308,18 @@
     }
 }
 
+/// Whether the log says with this status that it wrote nothing.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 fn retry_after(res: &Response) -> Duration {
     let seconds = res
         .header("retry-after")
         .and_then(|value| value.parse().ok());
-    seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+    seconds.map_or(DEFAULT_RETRY_AFTER, |seconds| {
+        Duration::from_secs(seconds).min(MAX_RETRY_AFTER)
+    })
 }
 
 fn decode<T: DeserializeOwned>(res: &Response) -> Result<T, LogError> {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -87,7 +87,8 @@
         // One attempt per second equals one token per millisecond.
         let earned = millis.saturating_mul(self.cfg.floor_per_second);
         if earned > 0 {
-            self.last_refill = now;
+            // What is left of a millisecond counts at the next refill.
+            self.last_refill += Duration::from_millis(millis);
             self.add_tokens(earned);
         }
     }
--- a/crates/routing/src/tests/budget.rs
+++ b/crates/routing/src/tests/budget.rs
@@ -40,6 +40,24 @@
     check(10_000, 0, 50);
 }
 
+/// Asked every 1.9 ms, the budget still earns its floor of ten attempts a second.
+#[test]
+fn parts_of_a_millisecond_add_up() {
+    let start = Instant::now();
+    let cfg = RetryBudgetConfig {
+        per_thousand: 0,
+        floor_per_second: 10,
+        burst: 1,
+    };
+    let mut budget = RetryBudget::empty(cfg, start);
+    let asks = 0..1053_u32;
+    let times = asks.map(|ask| start + Duration::from_micros(1900) * ask);
+    let granted = times
+        .filter(|now| budget.try_spend(*now) == BudgetDecision::Granted)
+        .count();
+    assert!((19..=20).contains(&granted), "{granted}");
+}
+
 #[test]
 fn hedge_delay_follows_the_latency_quantile() {
     let mut policy = HedgePolicy::new(0.95);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -112,7 +112,7 @@
     if let Some((key, _)) = non_zero.iter().find(|(_, value)| *value == 0) {
         return invalid(key, "expected more than 0");
     }
-    if limits.memory_of_calls < limits.max_body + limits.max_head {
+    if limits.memory_of_calls < limits.max_body.saturating_add(limits.max_head) {
         return invalid(
             "limits.memory_of_calls",
             "expected room for one call of max_head and max_body",
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -144,6 +144,11 @@
         "limits: { max_body: 8MiB }\nlog:\n",
         "f.yaml: limits.memory_of_calls: expected room for one call of max_head and max_body",
     );
+    check(
+        "log:\n",
+        "limits: { max_body: 18446744073709551615B }\nlog:\n",
+        "f.yaml: limits.memory_of_calls: expected room for one call of max_head and max_body",
+    );
     check(
         "7000\n",
         "7000\n  snapshots: bronzehead\n",
