explain: name a refused body as the cause of a refusal

Cause: the events that explain looks up did not include the refusal of a large body before it is sent. Test: a_refused_body_is_named_as_the_cause.

--- a/cli/src/explain/timeline.rs
+++ b/cli/src/explain/timeline.rs
@@ -100,13 +100,14 @@
 /// Describes the end of a request, with the cause logged by the daemon that ran or refused it and
 /// the last of its calls that failed.
 fn describe_end(end: &LogLine, own: &[&LogLine]) -> String {
-    let cause_event = match end.event.as_str() {
-        "refused" => "gate-refused",
-        _ => "answer-missing",
+    let cause_events: &[&str] = match end.event.as_str() {
+        "refused" => &["gate-refused", "transfer-refused"],
+        _ => &["answer-missing"],
     };
     let mut causes = own.iter().rev();
     let cause = causes.find(|line| {
-        line.event == cause_event && line.str_field("request") == end.str_field("request")
+        cause_events.contains(&line.event.as_str())
+            && line.str_field("request") == end.str_field("request")
     });
     let cause_text = match cause {
         Some(line) if line.event == "gate-refused" => format!(
@@ -117,6 +118,12 @@
             line.display_field("slots"),
             line.display_field("queued"),
         ),
+        Some(line) if line.event == "transfer-refused" => format!(
+            "; {} refused its body of {} bytes as {}",
+            line.daemon,
+            line.display_field("bytes"),
+            line.display_field("reason"),
+        ),
         Some(line) => format!(
             "; {} got no complete answer from {}: {}",
             line.daemon,
--- a/cli/src/tests.rs
+++ b/cli/src/tests.rs
@@ -38,6 +38,17 @@
     );
 }
 
+#[test]
+fn a_refused_body_is_named_as_the_cause() {
+    let text = r#"
+ 1.0 back {"at_ms":10,"event":"transfer-refused","request":"r1","bytes":60000,"reason":"Overloaded"}
+ 1.0 front {"at_ms":12,"event":"refused","request":"r1","reason":"Overloaded","tried":["back"],"retry_after_ms":240}
+"#;
+    let timeline = crate::explain::request_timeline(lines(text), "r1").to_string();
+    let end = "retry after 240 ms; back refused its body of 60000 bytes as Overloaded";
+    assert!(timeline.ends_with(end), "{timeline}");
+}
+
 #[test]
 fn a_failed_call_explains_the_failure_of_its_request() {
     let text = r#"
