Let leaders settle before the store is followed at the first start

Change: at the first start a daemon waits 2.5 s for its leaders before it reads the operator's records itself, and follows the members a second after it read them.

--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -49,6 +49,13 @@
 /// first ones of their zone, which then write the announcements of the others.
 const FIRST_START_SPREAD: Duration = Duration::from_secs(1);
 
+/// Time after the start of the whole fleet in which the leaders settle; until then each daemon would
+/// count as one and read the store. The first configuration is written seconds later.
+const FIRST_START_SETTLE: Duration = Duration::from_millis(2500);
+
+/// Time after the first read of the members in which claims of other leaders arrive.
+const CLAIM_WAIT: Duration = Duration::from_secs(1);
+
 /// Time in which the leaders of the zone must claim that role to a daemon that has the members;
 /// after it the daemon reads the configuration itself.
 const LEADER_WAIT: Duration = Duration::from_millis(800);
@@ -87,6 +94,7 @@
             false
         }
     };
+    let mut claim_wait = (topic == Topic::Mesh).then_some(CLAIM_WAIT);
     loop {
         if is_following && !node.is_reader(topic) {
             monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
@@ -119,6 +127,9 @@
                 is_store_available = true;
                 next_offset = Some(next);
                 is_following = true;
+                if let Some(wait) = claim_wait.take() {
+                    monoio::time::sleep(wait).await;
+                }
                 backoff = Backoff::new(BACKOFF, node.random());
             }
             Err(StoreError::Expired(first)) => {
@@ -210,6 +221,13 @@
     /// daemon sends probes. Without members in the zone or without a claim in time, the store is the
     /// source.
     async fn wait_for_leaders(&self) -> Source {
+        if self.boot.borrow().is_first_start {
+            monoio::time::sleep(FIRST_START_SETTLE).await;
+            let has_leader = self.election.borrow().has_other_leader(Instant::now());
+            if has_leader && !self.is_leader() {
+                return Source::Leaders;
+            }
+        }
         while !self.has_loaded_members.get() {
             monoio::time::sleep(FETCH_INTERVAL).await;
         }
