--- a/crates/mesh/src/balancer.rs
+++ b/crates/mesh/src/balancer.rs
@@ -9,6 +9,8 @@
 //! random instances there has an acceptable cost. Otherwise the better of two random instances is
 //! chosen (power of two choices), so that callers with the same information spread their requests.
 
+mod cfg;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +19,7 @@
 use base::UnixMillis;
 use base::ZoneName;
 
+pub use self::cfg::BalancerCfg;
 use crate::config::RouteName;
 use crate::directory::Entry;
 use crate::health::Health;
@@ -24,68 +27,6 @@
 use crate::link;
 use crate::wire::LoadReport;
 
-/// Parameters of the load balancer.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct BalancerCfg {
-    /// A reported load older than this is ignored.
-    pub load_max_age: Duration,
-    /// The local zone is preferred while its best instance costs less.
-    pub local_zone_max_cost: f64,
-    /// Factor on the cost of instances in the local zone, since requests to other zones take longer.
-    pub local_zone_factor: f64,
-    /// Weight of the latest answer in the moving average of the relative latency.
-    pub latency_smoothing: f64,
-    /// Cost added at a failure rate of 1; applies to the part of the rate above both the common
-    /// rate of the candidates and the tolerated rate.
-    pub failure_penalty: f64,
-    /// Failure rate without penalty: calls that an instance makes for its requests fail
-    /// occasionally.
-    pub tolerated_failure_rate: f64,
-    /// Factor on the latency of an instance that is still cold after its start.
-    pub cold_latency_factor: f64,
-    /// Factor on the used part of a link in comparison with that of the slots: a link that is nearly
-    /// full delays each request on it.
-    pub link_factor: f64,
-    /// Latency that an instance gains from empty to full, relative to its latency when empty.
-    pub slowdown_when_full: f64,
-    /// Utilization above which requests wait for a slot now and then.
-    pub wait_above: f64,
-    /// Expected wait at full utilization, in service times; grows with the square of the part of the
-    /// utilization above [`Self::wait_above`].
-    pub wait_when_full: f64,
-    /// First pause after an instance could not be reached; doubles with each further failure.
-    pub first_pause: Duration,
-    /// Longest pause after an instance could not be reached.
-    pub max_pause: Duration,
-}
-
-impl Default for BalancerCfg {
-    fn default() -> Self {
-        Self {
-            // A busy instance replies many times a second.
-            load_max_age: Duration::from_secs(1),
-            // An instance of mean latency is full there.
-            local_zone_max_cost: 3.0,
-            // While all zones are full alike, requests stay where they are.
-            local_zone_factor: 0.5,
-            // Averages over the last ten answers, about a second of one caller.
-            latency_smoothing: 0.1,
-            // An idle instance that failed one of its last five requests counts as nearly full.
-            failure_penalty: 16.0,
-            tolerated_failure_rate: 0.1,
-            // The platform's instances take twice as long while cold.
-            cold_latency_factor: 2.0,
-            link_factor: 1.2,
-            slowdown_when_full: 0.2,
-            wait_above: 0.6,
-            wait_when_full: 2.0,
-            // The first is about the restart time of a daemon, the longest that of a machine.
-            first_pause: Duration::from_millis(300),
-            max_pause: Duration::from_secs(3),
-        }
-    }
-}
-
 /// Statistics of one instance, as the caller side knows them.
 #[derive(Debug, Clone)]
 struct InstanceStats {
