--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -142,6 +142,13 @@
         &[],
         "Calls that wait for a slot of the upstream beside this daemon",
     ),
+    metric(
+        "bronzehead_route_kinds_unknown_total",
+        MetricKind::Counter,
+        "kinds",
+        &[],
+        "Kinds of request in adopted configurations that this release does not know",
+    ),
     metric(
         "bronzehead_running_calls",
         MetricKind::Gauge,
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -20,6 +20,7 @@
     let service = "bookings".into();
     metrics.record_call(&service, CallOutcome::Answered, Duration::from_millis(7));
     metrics.record_added_latency(&service, Duration::from_micros(300));
+    metrics.record_unknown_kind();
     metrics.record_not_run("overloaded");
     metrics.record_control_bytes(Purpose::Feed, Direction::Sent, 120);
     metrics.record_log_request(LogRequest::Append);
