Send an idempotent request on after an attempt that reached nobody

Change: after an attempt that reached nobody, an idempotent request goes to another instance within half of its time.

--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -28,6 +28,8 @@
 use users_platform::responses::DaemonResponse;
 
 use crate::attempt::Attempt;
+use crate::attempt::NotRunBy;
+use crate::attempt::may_try_another;
 use crate::attempt::observation;
 use crate::dispatch::Dispatched;
 use crate::forward::ForwardResult;
@@ -39,18 +41,9 @@
 /// Timeout of requests that carry no deadline; longer than the timeout of any configured route.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Number of daemons that may refuse a request before the client gets the refusal: three refusals
-/// from a handful of instances indicate that the service is full.
-const MAX_REFUSALS: usize = 3;
-
 /// Times that a request may be sent to instances that reject it.
 const MAX_SENDS: u32 = 4;
 
-/// Divisor of the time in which an answer has its full value. A request that is refused after that
-/// fraction of it is not sent to another instance, where it would queue again while the client could
-/// retry later.
-const REFUSAL_TIME_DIVISOR: u32 = 4;
-
 /// Retry delay sent to the client when no instance takes requests, when there is no configuration
 /// yet, or when a refusal carries no delay: one gossip round.
 const NO_INSTANCE_RETRY: Duration = Duration::from_millis(250);
@@ -271,7 +264,7 @@
     ) -> NextStep {
         match result {
             ForwardResult::Unreachable => {
-                retry_unless_exhausted(state, not_sent(NO_INSTANCE_RETRY))
+                retry_unless_exhausted(state, not_sent(NO_INSTANCE_RETRY), NotRunBy::Nobody)
             }
             ForwardResult::Lost(reason) => self.after_lost_attempt(state, entry, reason),
             ForwardResult::Replied(Dispatched { outcome, res }) => match outcome {
@@ -279,7 +272,9 @@
                     Some(res) => NextStep::Answer(res),
                     None => self.after_lost_attempt(state, entry, "reply carries no response"),
                 },
-                ForwardOutcome::NotRun(not_run) => retry_unless_exhausted(state, not_run),
+                ForwardOutcome::NotRun(not_run) => {
+                    retry_unless_exhausted(state, not_run, NotRunBy::Refusal)
+                }
                 ForwardOutcome::Rejected(not_run) => {
                     state.record_delivery(entry);
                     state.rejected_by = Some(entry.member.daemon.clone());
@@ -422,13 +417,13 @@
     }
 }
 
-fn retry_unless_exhausted(state: &mut RequestState, not_run: NotRun) -> NextStep {
+fn retry_unless_exhausted(state: &mut RequestState, not_run: NotRun, by: NotRunBy) -> NextStep {
     state.last_refusal = Some(not_run.clone());
     let full_value_time = state
         .full_value_until
         .saturating_duration_since(state.began);
-    let has_time = state.began.elapsed() < full_value_time / REFUSAL_TIME_DIVISOR;
-    if state.tried.len() < MAX_REFUSALS && has_time {
+    let (tried, elapsed) = (state.tried.len(), state.began.elapsed());
+    if may_try_another(by, state.route.repeat, tried, elapsed, full_value_time) {
         NextStep::Retry
     } else {
         NextStep::GiveUp(not_run)
--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -1,3 +1,4 @@
 //! Unit tests of the sidecar.
 
+mod attempt;
 mod compression;
