Show what an instance states about itself, and count the requests sent to it

New: `instance-limit` and `instance-leaving` lines on a change, `bronzehead_instance_limit`, and `bronzehead_instance_requests_total` beside the instance, where all requests to it pass. No decision changes. The part of the dispatch after the answer is a function of its own now.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod latency;
 pub mod link;
 pub mod moves;
+pub mod rate_limit;
 pub mod retry_budgets;
 pub mod stored_members;
 pub mod table;
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -107,6 +107,20 @@
         &[],
         "Epoch in force",
     ),
+    metric(
+        "bronzehead_instance_limit",
+        MetricKind::Gauge,
+        "requests/s",
+        &[],
+        "Rate that the upstream beside this daemon accepts from all daemons; infinite if it states none",
+    ),
+    metric(
+        "bronzehead_instance_requests_total",
+        MetricKind::Counter,
+        "requests",
+        &[],
+        "Requests sent to the upstream beside this daemon",
+    ),
     metric(
         "bronzehead_log_requests_total",
         MetricKind::Counter,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -167,6 +167,8 @@
     members: Gauge<u64>,
     running_calls: Gauge<u64>,
     queued_calls: Gauge<u64>,
+    instance_requests: Counter<u64>,
+    instance_limit: Gauge<f64>,
 }
 
 impl Metrics {
@@ -203,6 +205,8 @@
             members: gauge(&meter, "bronzehead_members"),
             running_calls: gauge(&meter, "bronzehead_running_calls"),
             queued_calls: gauge(&meter, "bronzehead_queued_calls"),
+            instance_requests: counter(&meter, "bronzehead_instance_requests", ""),
+            instance_limit: meter.f64_gauge("bronzehead_instance_limit").build(),
             registry,
             provider,
         })
@@ -274,6 +278,18 @@
         self.queued_calls.record(u64::from(queued), &[]);
     }
 
+    /// Counts a request that was sent to the local instance.
+    pub fn record_instance_request(&self) {
+        self.instance_requests.add(1, &[]);
+    }
+
+    /// Sets the rate that the local instance accepts, in requests a second; `None` if it states no
+    /// limit.
+    pub fn set_instance_limit(&self, per_sec: Option<f64>) {
+        self.instance_limit
+            .record(per_sec.unwrap_or(f64::INFINITY), &[]);
+    }
+
     /// Encodes all values in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -27,6 +27,8 @@
     metrics.record_convergence(Duration::from_millis(90));
     metrics.record_rollout_end(&service, &RolloutOutcome::Done);
     metrics.set_load(3, 1);
+    metrics.record_instance_request();
+    metrics.set_instance_limit(Some(14.2));
     metrics.set_state(StateGauges {
         ticket: 7,
         next_offset: 40,
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -9,6 +9,7 @@
 use base::FastMap;
 use base::FastSet;
 use base::UnixMillis;
+use http_edge::Conn;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
@@ -23,6 +24,7 @@
 use mesh::health::Health;
 use mesh::instance::Change;
 use mesh::latency::RelativeLatency;
+use mesh::rate_limit::LimitNotice;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
 use protocol::call::Load;
@@ -31,10 +33,12 @@
 use serde_json::json;
 use users_platform::requests;
 use users_platform::responses;
+use users_platform::responses::InstanceNotice;
 use users_platform::responses::InstanceResponse;
 
 use crate::logs::EventClass;
 use crate::node::Node;
+use crate::slot::SlotGuard;
 
 /// Slots assumed until the first heartbeat reports them; fewer than any of the users' instances
 /// has.
@@ -89,6 +93,8 @@
     counts: RefCell<RouteCounts>,
     health: RefCell<Health>,
     latency: RefCell<RelativeLatency>,
+    /// What the instance stated about itself last.
+    last_notice: Cell<Option<InstanceNotice>>,
 }
 
 /// What a request contributes to the canary evidence on the instance's version.
@@ -130,6 +136,7 @@
             counts: RefCell::default(),
             health: RefCell::default(),
             latency: RefCell::default(),
+            last_notice: Cell::new(None),
         }
     }
 
@@ -345,32 +352,48 @@
             return self.refuse(NotRunReason::DeadlineTooShort);
         }
         requests::prepare_for_instance(&mut req, &head.instance, left);
+        self.metrics.record_instance_request();
         let answered = conn.call(req, left + ANSWER_GRACE).await;
         let took = began.elapsed();
-        let mut res = match answered {
-            Ok(res) => res,
+        match answered {
+            Ok(res) => self.conclude(head, res, conn, slot, took),
             Err(e) => {
                 drop(conn);
-                self.dispatcher.record_health(true);
-                self.dispatcher.record_latency(self, head, took, true);
-                self.dispatcher
-                    .record_evidence(self, head, EvidenceSample::Missing);
-                self.event_log.emit(
-                    EventClass::Failure,
-                    "answer-missing",
-                    Instant::now(),
-                    || {
-                        json!({
-                            "request": head.request,
-                            "instance": head.instance,
-                            "reason": e.to_string(),
-                            "waited_ms": took.as_millis(),
-                        })
-                    },
-                );
-                return Dispatched::without_answer(ForwardOutcome::Unknown);
+                self.record_missing_answer(head, took, &e.to_string());
+                Dispatched::without_answer(ForwardOutcome::Unknown)
             }
-        };
+        }
+    }
+
+    fn record_missing_answer(&self, head: &ForwardHead, took: Duration, reason: &str) {
+        self.dispatcher.record_health(true);
+        self.dispatcher.record_latency(self, head, took, true);
+        self.dispatcher
+            .record_evidence(self, head, EvidenceSample::Missing);
+        self.event_log.emit(
+            EventClass::Failure,
+            "answer-missing",
+            Instant::now(),
+            || {
+                json!({
+                    "request": head.request,
+                    "instance": head.instance,
+                    "reason": reason,
+                    "waited_ms": took.as_millis(),
+                })
+            },
+        );
+    }
+
+    /// Turns the instance's response into the result of the dispatch.
+    fn conclude(
+        &self,
+        head: &ForwardHead,
+        mut res: Response,
+        conn: Conn,
+        slot: SlotGuard<'_>,
+        took: Duration,
+    ) -> Dispatched {
         let answer = responses::decode(&res, &head.request);
         self.dispatcher
             .record_health(answer != InstanceResponse::Done);
@@ -379,13 +402,12 @@
             return Dispatched::without_answer(ForwardOutcome::Unknown);
         }
         self.dispatcher.conns.put(conn);
+        if answer != InstanceResponse::Misdirected {
+            self.record_notice(head, responses::decode_notice(&res));
+        }
         match answer {
             InstanceResponse::NotRun => {
-                let not_run = self
-                    .dispatcher
-                    .admission
-                    .borrow()
-                    .not_run(NotRunReason::UpstreamRefused);
+                let not_run = self.dispatcher.not_run(NotRunReason::UpstreamRefused);
                 Dispatched::without_answer(ForwardOutcome::Rejected(not_run))
             }
             InstanceResponse::Misdirected => self.refuse(NotRunReason::WrongVersion),
@@ -407,6 +429,33 @@
         }
     }
 
+    /// Logs what the instance states about itself if that has changed.
+    fn record_notice(&self, head: &ForwardHead, notice: InstanceNotice) {
+        let before = self.dispatcher.last_notice.replace(Some(notice));
+        if before.map(|before| before.limit) != Some(notice.limit) {
+            let per_sec = match notice.limit {
+                LimitNotice::Limit(rate) => Some(rate.per_sec()),
+                LimitNotice::Absent | LimitNotice::Unreadable => None,
+            };
+            self.metrics.set_instance_limit(per_sec);
+            if before.is_some() || notice.limit != LimitNotice::Absent {
+                self.log_state("instance-limit", || {
+                    json!({
+                        "instance": head.instance,
+                        "per_sec": per_sec,
+                        "notice": format!("{:?}", notice.limit),
+                    })
+                });
+            }
+        }
+        if notice.is_leaving && !before.is_some_and(|before| before.is_leaving) {
+            self.log_state(
+                "instance-leaving",
+                || json!({ "instance": head.instance, "born": head.born }),
+            );
+        }
+    }
+
     fn refuse(&self, reason: NotRunReason) -> Dispatched {
         let not_run = self.dispatcher.not_run(reason);
         Dispatched::without_answer(ForwardOutcome::NotRun(not_run))
