--- a/crates/sidecar/tests/end_to_end.rs
+++ b/crates/sidecar/tests/end_to_end.rs
@@ -46,13 +46,44 @@
     name: String,
     answer_mode: Cell<AnswerMode>,
     received: RefCell<Vec<Request>>,
+    arrivals: RefCell<Vec<Instant>>,
+    /// Value of the header `Server-Limit` in its responses.
+    limit: RefCell<Option<&'static str>>,
+    /// Whether its responses say that it is leaving.
+    is_leaving: Cell<bool>,
+}
+
+impl Instance {
+    fn new(number: u8) -> Self {
+        Self {
+            name: format!("i-{number}"),
+            answer_mode: Cell::new(AnswerMode::Answers),
+            received: RefCell::default(),
+            arrivals: RefCell::default(),
+            limit: RefCell::default(),
+            is_leaving: Cell::new(false),
+        }
+    }
+
+    fn arrivals_since(&self, since: Instant) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|at| **at >= since).count()
+    }
 }
 
 impl Handler for Instance {
     async fn handle(&self, req: Request) -> Response {
         let id = req.header("x-request-id").unwrap_or_default().to_owned();
         self.received.borrow_mut().push(req);
-        let res = Response::text(StatusCode::OK, self.name.clone()).with_header("x-request-id", id);
+        self.arrivals.borrow_mut().push(Instant::now());
+        let mut res =
+            Response::text(StatusCode::OK, self.name.clone()).with_header("x-request-id", id);
+        if let Some(limit) = *self.limit.borrow() {
+            res = res.with_header("server-limit", limit);
+        }
+        if self.is_leaving.get() {
+            res = res.with_header("server-leaving", "1");
+        }
         match self.answer_mode.get() {
             AnswerMode::Answers => res.with_header("x-response-stamp", &self.name),
             AnswerMode::Rejects => {
@@ -91,11 +122,7 @@
 
 async fn machine(boot: BootConfig, number: u8) -> Machine {
     let service = boot.service.clone();
-    let instance = Rc::new(Instance {
-        name: format!("i-{number}"),
-        answer_mode: Cell::new(AnswerMode::Answers),
-        received: RefCell::default(),
-    });
+    let instance = Rc::new(Instance::new(number));
     let server = serve(boot.instance_address, Rc::clone(&instance));
     let ip = boot.ip;
     let machine = Machine {
@@ -429,6 +456,112 @@
     });
 }
 
+/// Counts of the responses to a stream of requests.
+#[derive(Debug, Default)]
+struct Tally {
+    answered: Cell<usize>,
+    refused: Cell<usize>,
+    other: Cell<usize>,
+}
+
+/// Sends a request each `interval` until `end`, without waiting for the responses.
+async fn send_stream(machine: Rc<Machine>, interval: Duration, end: Instant, tally: Rc<Tally>) {
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let (machine, tally) = (Rc::clone(&machine), Rc::clone(&tally));
+        monoio::spawn(async move {
+            let id = format!("stream-{}-{number}", machine.ip);
+            let res = machine
+                .send_request(http::Method::GET, "/look/1", &id)
+                .await;
+            let count = match res.status {
+                StatusCode::OK => &tally.answered,
+                StatusCode::SERVICE_UNAVAILABLE if res.header("retry-after").is_some() => {
+                    &tally.refused
+                }
+                _ => &tally.other,
+            };
+            count.set(count.get() + 1);
+        });
+        monoio::time::sleep(interval).await;
+    }
+}
+
+/// Sends requests from both machines to the only instance of the service for [`OFFERED_TIME`].
+async fn overload(front: Machine, back: Machine) -> (Machine, Machine, Rc<Tally>) {
+    let (front, back, tally) = (Rc::new(front), Rc::new(back), Rc::new(Tally::default()));
+    let end = Instant::now() + OFFERED_TIME;
+    let streams = [&front, &back].map(|machine| {
+        let stream = send_stream(Rc::clone(machine), OFFER_INTERVAL, end, Rc::clone(&tally));
+        monoio::spawn(stream)
+    });
+    for stream in streams {
+        stream.await;
+    }
+    // Requests that are still under way hold their machine.
+    let end = Instant::now() + TIMEOUT;
+    while Rc::strong_count(&front) + Rc::strong_count(&back) > 2 {
+        assert!(Instant::now() < end, "requests without a response");
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let front = Rc::into_inner(front).expect("all requests have ended");
+    let back = Rc::into_inner(back).expect("all requests have ended");
+    (front, back, tally)
+}
+
+/// Time in which a limit must be in force after an instance first stated it.
+const LIMIT_SETTLE: Duration = Duration::from_secs(3);
+
+/// Span in which the requests to an instance are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+
+/// Time for which [`overload`] sends requests, and the time between two of one machine.
+const OFFERED_TIME: Duration = Duration::from_secs(8);
+const OFFER_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Most requests in any [`LIMIT_SPAN`] that the platform accepts for a stated limit.
+fn allowed(per_sec: f64) -> f64 {
+    1.5 * per_sec * LIMIT_SPAN.as_secs_f64() + 5.0
+}
+
+fn assert_limit_is_held(instance: &Instance, per_sec: f64, stated: Instant) {
+    let most = most_arrivals(instance, stated);
+    let allowed = allowed(per_sec);
+    let is_held = f64::from(u32::try_from(most).expect("few requests")) <= allowed;
+    assert!(is_held, "{most} requests in 4 s, {allowed} allowed");
+}
+
+/// Returns the most arrivals in any [`LIMIT_SPAN`] that ends [`LIMIT_SETTLE`] after `stated` or later.
+fn most_arrivals(instance: &Instance, stated: Instant) -> usize {
+    let arrivals = instance.arrivals.borrow();
+    let ends = arrivals.iter().filter(|end| **end >= stated + LIMIT_SETTLE);
+    let in_span = |end: &Instant| {
+        let is_counted = |at: &&Instant| **at <= *end && **at + LIMIT_SPAN > *end;
+        arrivals.iter().filter(is_counted).count()
+    };
+    ends.map(in_span).max().unwrap_or(0)
+}
+
+/// Incident inc1: an instance got three times the limit that it had stated.
+#[test]
+fn an_instance_gets_no_more_than_its_stated_limit_from_all_daemons() {
+    with_fleet(11, |_, front, back| async move {
+        wait_for_instance(&front).await;
+        wait_for_instance(&back).await;
+        *back.instance.limit.borrow_mut() = Some("12.5");
+        let stated = Instant::now();
+        let (front, back, tally) = overload(front, back).await;
+        assert_limit_is_held(&back.instance, 12.5, stated);
+        // The instance is used up to its limit, and nothing is lost.
+        let arrived = back.instance.arrivals_since(stated + LIMIT_SETTLE);
+        assert!(arrived >= 50, "only {arrived} requests in 5 s");
+        assert!(tally.refused.get() > 0, "{tally:?}");
+        assert_eq!(tally.other.get(), 0, "{tally:?}");
+        (front, back)
+    });
+}
+
 #[test]
 fn followers_get_a_configuration_from_the_leaders() {
     with_fleet(7, |store, front, back| async move {
