Send no more requests to an instance that says it is leaving in its answers

Change: the daemon beside the instance takes such an answer like a draining heartbeat, final for that incarnation, and its announcement names the incarnation, so that the daemons and its own next process know it. A daemon that passed such an answer on remembers it by itself, so neither a cut nor a restart of the other daemon sends a request there.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -14,6 +14,7 @@
 
 use crate::election::LEADERS_PER_ZONE;
 use crate::election::Strength;
+use crate::instance::InstanceKey;
 use crate::wire::Member;
 
 /// A member and the arrival time of its announcement.
@@ -51,6 +52,9 @@
     members: FastMap<DaemonId, Entry>,
     /// Daemons with an instance, by its service; each request looks up one service.
     by_service: FastMap<ServiceName, Vec<DaemonId>>,
+    /// Instances that are leaving, by their daemon. A daemon that restarts may announce one again as
+    /// ready, so they stand until it announces another one.
+    leaving: FastMap<DaemonId, InstanceKey>,
     /// XOR of the hashes of all members, independent of their order.
     digest: u64,
 }
@@ -93,7 +97,13 @@
     fn insert(&mut self, entry: Entry) {
         let member = &entry.member;
         self.digest ^= hash(member);
+        if let Some(key) = &member.leaving {
+            self.leaving.insert(member.daemon.clone(), key.clone());
+        }
         if let Some(info) = &member.instance {
+            if self.leaving.get(&member.daemon) != Some(&info.key()) {
+                self.leaving.remove(&member.daemon);
+            }
             let daemons = self.by_service.entry(info.service.clone()).or_default();
             daemons.push(member.daemon.clone());
         }
@@ -112,6 +122,27 @@
         }
     }
 
+    /// Records that an instance says in its answers that it is leaving. Returns whether that is news.
+    pub fn mark_leaving(&mut self, daemon: &DaemonId, key: &InstanceKey) -> bool {
+        let info = self
+            .members
+            .get(daemon)
+            .and_then(|entry| entry.member.instance.as_ref());
+        let is_announced = info.is_some_and(|info| info.key() == *key);
+        if !is_announced || self.leaving.get(daemon) == Some(key) {
+            return false;
+        }
+        self.leaving.insert(daemon.clone(), key.clone());
+        true
+    }
+
+    /// Whether the announced instance of a member is leaving.
+    fn is_leaving(&self, member: &Member) -> bool {
+        let info = member.instance.as_ref();
+        let key = self.leaving.get(&member.daemon);
+        key.is_some_and(|key| info.is_some_and(|info| info.key() == *key))
+    }
+
     /// Returns a hash of the newest announcements of all members, independent of their arrival
     /// order.
     #[must_use]
@@ -119,12 +150,13 @@
         self.digest
     }
 
-    /// Returns the members with an instance of `service` that accept requests, unordered.
+    /// Returns the members with an instance of `service` that accept requests, unordered. An instance
+    /// that is leaving does not.
     pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
         let daemons = self.by_service.get(service).into_iter().flatten();
         daemons
             .filter_map(|daemon| self.members.get(daemon))
-            .filter(|entry| entry.member.is_open)
+            .filter(|entry| entry.member.is_open && !self.is_leaving(&entry.member))
     }
 
     /// Returns all members, unordered.
--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -6,6 +6,8 @@
 use base::ServiceName;
 use base::UnixMillis;
 use base::VersionName;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use crate::wire::InstanceInfo;
@@ -13,6 +15,15 @@
 /// Identifier that an instance assigns to itself.
 pub type InstanceId = SmolStr;
 
+/// Identity of one incarnation of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceKey {
+    /// Identifier of the instance.
+    pub id: InstanceId,
+    /// Start time of the incarnation, by the instance's clock.
+    pub born: UnixMillis,
+}
+
 /// Heartbeat intervals without a heartbeat after which an instance counts as gone; a single
 /// heartbeat may arrive seconds late.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
@@ -40,6 +51,17 @@
     pub cold_left: Duration,
 }
 
+impl Heartbeat {
+    /// Returns the identity of the instance's incarnation.
+    #[must_use]
+    pub fn key(&self) -> InstanceKey {
+        InstanceKey {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// Whether an instance accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -65,6 +87,8 @@
 #[derive(Debug, Default)]
 pub struct LocalInstance {
     current: Option<InstanceState>,
+    /// Incarnation that an earlier process of this daemon knew to be leaving.
+    known_leaving: Option<InstanceKey>,
 }
 
 #[derive(Debug)]
@@ -78,7 +102,10 @@
 impl LocalInstance {
     /// Applies a heartbeat. One of an older incarnation, or not newer than the last one, is
     /// ignored.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> Change {
+    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Instant) -> Change {
+        if self.known_leaving.as_ref() == Some(&heartbeat.key()) {
+            heartbeat.phase = Phase::Draining;
+        }
         let Some(state) = &mut self.current else {
             self.current = Some(InstanceState::new(heartbeat, now));
             return Change::Told;
@@ -119,7 +146,7 @@
     /// instance sends a heartbeat. Only its id is trusted: another instance at the same address
     /// rejects requests that name it.
     pub fn restore(&mut self, info: &InstanceInfo, address: SmolStr, now: Instant) -> Change {
-        if self.current.is_some() {
+        if self.current.is_some() || self.known_leaving.as_ref() == Some(&info.key()) {
             return Change::Ignored;
         }
         let heartbeat = Heartbeat {
@@ -137,6 +164,40 @@
         Change::Told
     }
 
+    /// Takes over from the announcement of an earlier process of this daemon which incarnation of the
+    /// instance is leaving.
+    pub fn restore_leaving(&mut self, key: InstanceKey) -> Change {
+        let change = self.mark_draining(&key);
+        self.known_leaving = Some(key);
+        change
+    }
+
+    /// Records that an incarnation of the instance says that it is leaving; its heartbeats need not say
+    /// so.
+    pub fn mark_draining(&mut self, key: &InstanceKey) -> Change {
+        match &mut self.current {
+            Some(state)
+                if state.heartbeat.key() == *key && state.heartbeat.phase == Phase::Ready =>
+            {
+                state.heartbeat.phase = Phase::Draining;
+                Change::Told
+            }
+            _ => Change::Ignored,
+        }
+    }
+
+    /// Returns the incarnation of the instance that is leaving; `None` if it is not.
+    #[must_use]
+    pub fn leaving(&self) -> Option<InstanceKey> {
+        match &self.current {
+            Some(state) if state.has_left || state.heartbeat.phase == Phase::Draining => {
+                Some(state.heartbeat.key())
+            }
+            Some(_) => None,
+            None => self.known_leaving.clone(),
+        }
+    }
+
     /// Records that the instance deregistered itself.
     pub fn mark_left(&mut self, id: &str) -> Change {
         match &mut self.current {
--- a/crates/mesh/src/tests/balancer.rs
+++ b/crates/mesh/src/tests/balancer.rs
@@ -35,6 +35,7 @@
                 slots: 10,
                 cold_left,
             }),
+            leaving: None,
             is_open: true,
             strength: 1,
             link_mbps: 1000,
--- a/crates/mesh/src/tests/directory.rs
+++ b/crates/mesh/src/tests/directory.rs
@@ -31,6 +31,7 @@
             slots: 4,
             cold_left: Duration::ZERO,
         }),
+        leaving: None,
         is_open: pick(211, 5) > 0,
         strength: pick(3, 4),
         link_mbps: 1000,
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -9,6 +9,7 @@
 use crate::directory::Merge;
 use crate::instance::Change;
 use crate::instance::Heartbeat;
+use crate::instance::InstanceKey;
 use crate::instance::LocalInstance;
 use crate::instance::Phase;
 use crate::wire::InstanceInfo;
@@ -90,6 +91,7 @@
         address: ([10, 0, 0, 1], port).into(),
         zone: "suva-a".into(),
         instance: None,
+        leaving: None,
         is_open: true,
         strength: 1,
         link_mbps: 1000,
@@ -152,3 +154,87 @@
     let later = now + HEARTBEAT_INTERVAL * 4;
     assert!(silent.serving(HEARTBEAT_INTERVAL, later).is_none());
 }
+
+fn key(born: u64) -> InstanceKey {
+    InstanceKey {
+        id: "i-1".into(),
+        born,
+    }
+}
+
+#[test]
+fn an_instance_that_says_it_is_leaving_does_not_serve_whatever_its_heartbeats_say() {
+    let now = Instant::now();
+    let mut local = LocalInstance::default();
+    local.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
+    assert_eq!(local.mark_draining(&key(10)), Change::Ignored);
+    assert!(local.serving(HEARTBEAT_INTERVAL, now).is_some());
+    assert_eq!(local.mark_draining(&key(20)), Change::Told);
+    assert_eq!(local.mark_draining(&key(20)), Change::Ignored);
+    local.record_heartbeat(heartbeat(20, 2, Phase::Ready), now);
+    assert!(local.serving(HEARTBEAT_INTERVAL, now).is_none());
+    assert_eq!(local.leaving(), Some(key(20)));
+    local.record_heartbeat(heartbeat(30, 1, Phase::Ready), now);
+    assert!(local.serving(HEARTBEAT_INTERVAL, now).is_some());
+    assert_eq!(local.leaving(), None);
+}
+
+#[test]
+fn a_process_takes_over_that_the_instance_is_leaving() {
+    let now = Instant::now();
+    // Its announcement arrives before the first heartbeat, or after it.
+    for is_first in [true, false] {
+        let mut local = LocalInstance::default();
+        if is_first {
+            assert_eq!(local.restore_leaving(key(20)), Change::Ignored);
+            assert_eq!(local.leaving(), Some(key(20)));
+        }
+        local.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
+        if !is_first {
+            assert_eq!(local.restore_leaving(key(20)), Change::Told);
+        }
+        assert!(local.serving(HEARTBEAT_INTERVAL, now).is_none());
+        local.record_heartbeat(heartbeat(30, 1, Phase::Ready), now);
+        assert!(local.serving(HEARTBEAT_INTERVAL, now).is_some());
+    }
+}
+
+#[test]
+fn a_leaving_instance_gets_no_requests_though_its_daemon_announces_it_again() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    let serves = |directory: &Directory| directory.serving(&"bookings".into()).count() > 0;
+    let info = |born| InstanceInfo {
+        id: "i-1".into(),
+        born,
+        service: "bookings".into(),
+        version: "v1".into(),
+        slots: 4,
+        cold_left: Duration::ZERO,
+    };
+    let announce = |directory: &mut Directory, revision, born| {
+        let member = Member {
+            instance: Some(info(born)),
+            ..member("suva-a-1", 1, revision, 1)
+        };
+        assert_eq!(directory.merge(member, now), Merge::Newer);
+    };
+    announce(&mut directory, 1, 20);
+    assert!(!directory.mark_leaving(&"suva-a-1".into(), &info(10).key()));
+    assert!(serves(&directory));
+    assert!(directory.mark_leaving(&"suva-a-1".into(), &info(20).key()));
+    assert!(!serves(&directory));
+    // The daemon has restarted and does not know it.
+    announce(&mut directory, 2, 20);
+    assert!(!serves(&directory));
+    announce(&mut directory, 3, 30);
+    assert!(serves(&directory));
+    // Another daemon learned it first, and its announcement was lost.
+    let leaving = Member {
+        leaving: Some(info(30).key()),
+        ..member("suva-a-1", 1, 4, 1)
+    };
+    assert_eq!(directory.merge(leaving, now), Merge::Newer);
+    announce(&mut directory, 5, 30);
+    assert!(!serves(&directory));
+}
--- a/crates/mesh/src/tests/placement.rs
+++ b/crates/mesh/src/tests/placement.rs
@@ -100,6 +100,7 @@
                 slots: SLOTS,
                 cold_left: Duration::ZERO,
             }),
+            leaving: None,
             is_open: true,
             strength: 1,
             link_mbps: 1000,
--- a/crates/mesh/src/tests/stored_members.rs
+++ b/crates/mesh/src/tests/stored_members.rs
@@ -18,6 +18,7 @@
         address: ([10, 0, 0, number], 1).into(),
         zone: zone.into(),
         instance: None,
+        leaving: None,
         is_open: true,
         strength: 1,
         link_mbps: 1000,
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -22,6 +22,7 @@
 use crate::election::Claim;
 use crate::election::Strength;
 use crate::instance::InstanceId;
+use crate::instance::InstanceKey;
 use crate::moves::MoveRecord;
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
@@ -44,6 +45,8 @@
     pub zone: ZoneName,
     /// The instance, if it accepts new requests.
     pub instance: Option<InstanceInfo>,
+    /// The instance's incarnation if it leaves; it must get no new requests, whatever else is known.
+    pub leaving: Option<InstanceKey>,
     /// Whether the daemon accepts requests from others; false while it stops.
     pub is_open: bool,
     /// Capacity of the machine for leading its zone.
@@ -77,6 +80,17 @@
     pub cold_left: Duration,
 }
 
+impl InstanceInfo {
+    /// Returns the identity of the instance's incarnation.
+    #[must_use]
+    pub fn key(&self) -> InstanceKey {
+        InstanceKey {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// Head of a request that a daemon forwards to the daemon beside the selected instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardHead {
@@ -106,6 +120,17 @@
     pub limit: Option<RequestRate>,
 }
 
+impl ForwardHead {
+    /// Returns the identity of the selected instance's incarnation.
+    #[must_use]
+    pub fn instance_key(&self) -> InstanceKey {
+        InstanceKey {
+            id: self.instance.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// Outcome of a forwarded request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardOutcome {
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -211,6 +211,7 @@
         let is_same = previous.as_ref().is_some_and(|previous| {
             previous.incarnation == incarnation
                 && previous.is_open == current.is_open
+                && previous.leaving == current.leaving
                 && is_same_instance(previous.instance.as_ref(), current.instance.as_ref())
         });
         if is_same {
@@ -242,6 +243,7 @@
                 slots: heartbeat.slots,
                 cold_left: heartbeat.cold_left,
             }),
+            leaving: local.leaving(),
             is_open: !self.closing.is_set(),
             strength: strength(boot.cpu_permille, boot.link_mbps),
             link_mbps: boot.link_mbps,
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -23,6 +23,7 @@
 use mesh::evidence::RouteStats;
 use mesh::health::Health;
 use mesh::instance::Change;
+use mesh::instance::InstanceKey;
 use mesh::latency::RelativeLatency;
 use mesh::rate_limit::LimitNotice;
 use mesh::rate_limit::LimitReport;
@@ -35,7 +36,6 @@
 use serde_json::json;
 use users_platform::requests;
 use users_platform::responses;
-use users_platform::responses::InstanceNotice;
 use users_platform::responses::InstanceResponse;
 
 use crate::logs::EventClass;
@@ -95,8 +95,8 @@
     counts: RefCell<RouteCounts>,
     health: RefCell<Health>,
     latency: RefCell<RelativeLatency>,
-    /// What the instance stated about itself last.
-    last_notice: Cell<Option<InstanceNotice>>,
+    /// What the instance stated about its limit last.
+    last_limit_notice: Cell<LimitNotice>,
 }
 
 /// What a request contributes to the canary evidence on the instance's version.
@@ -138,7 +138,7 @@
             counts: RefCell::default(),
             health: RefCell::default(),
             latency: RefCell::default(),
-            last_notice: Cell::new(None),
+            last_limit_notice: Cell::new(LimitNotice::Absent),
         }
     }
 
@@ -420,8 +420,11 @@
         self.dispatcher.conns.put(conn);
         if answer != InstanceResponse::Misdirected {
             let notice = responses::decode_notice(&res);
-            self.log_notice(head, notice);
+            self.log_limit_notice(head, notice.limit);
             self.apply_limit(head, answer, notice.limit, sent_at);
+            if notice.is_leaving {
+                self.apply_leaving(&head.instance_key());
+            }
         }
         match answer {
             InstanceResponse::NotRun => {
@@ -447,25 +450,18 @@
         }
     }
 
-    /// Logs what the instance states about itself if that has changed.
-    fn log_notice(&self, head: &ForwardHead, notice: InstanceNotice) {
-        let before = self.dispatcher.last_notice.replace(Some(notice));
-        let limit_before = before.map_or(LimitNotice::Absent, |before| before.limit);
-        if limit_before != notice.limit {
+    /// Logs what the instance states about its limit if that has changed.
+    fn log_limit_notice(&self, head: &ForwardHead, notice: LimitNotice) {
+        let before = self.dispatcher.last_limit_notice.replace(notice);
+        if before != notice {
             self.log_state("instance-limit", || {
                 json!({
                     "instance": head.instance,
-                    "notice": format!("{:?}", notice.limit),
-                    "before": format!("{limit_before:?}"),
+                    "notice": format!("{notice:?}"),
+                    "before": format!("{before:?}"),
                 })
             });
         }
-        if notice.is_leaving && !before.is_some_and(|before| before.is_leaving) {
-            self.log_state(
-                "instance-leaving",
-                || json!({ "instance": head.instance, "born": head.born }),
-            );
-        }
     }
 
     /// Takes the limit that the instance states into force. A response to a request that did not run
@@ -513,6 +509,13 @@
         }
     }
 
+    /// Stops sending requests to the instance, as it says that it is leaving.
+    fn apply_leaving(&self, key: &InstanceKey) {
+        if self.local.borrow_mut().mark_draining(key) == Change::Told {
+            self.refuse_new_requests(key, "answer");
+        }
+    }
+
     fn report_limit(&self, limit: Option<RequestRate>) {
         self.metrics
             .set_instance_limit(limit.map(RequestRate::per_sec));
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -26,6 +26,7 @@
 use protocol::call::OUTCOME_HEADER;
 use protocol::codec;
 use serde_json::json;
+use users_platform::responses;
 
 use crate::dispatch::Dispatched;
 use crate::logs::EventClass;
@@ -200,6 +201,12 @@
             self.merge_member(member, "reply");
         }
         let is_answered = matches!(reply.outcome, ForwardOutcome::Answered { .. });
+        if is_answered
+            && responses::decode_notice(&res).is_leaving
+            && let Some(info) = &to.member.instance
+        {
+            self.mark_leaving(&to.member.daemon, &info.key());
+        }
         ForwardResult::Replied(Dispatched {
             outcome: reply.outcome,
             res: is_answered.then_some(res),
--- a/crates/sidecar/tests/end_to_end.rs
+++ b/crates/sidecar/tests/end_to_end.rs
@@ -636,6 +636,34 @@
     });
 }
 
+/// Time after which no request may reach an instance that has said that it is leaving.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+#[test]
+fn an_instance_that_says_it_is_leaving_in_its_answers_gets_no_more_requests() {
+    with_fleet(14, |_, front, back| async move {
+        wait_for_instance(&front).await;
+        back.instance.is_leaving.set(true);
+        let res = front
+            .send_request(http::Method::GET, "/look/1", "id-1")
+            .await;
+        assert_eq!(res.status, StatusCode::OK);
+        // Its heartbeats do not say so.
+        back.send_heartbeat("bookings", "ready").await;
+        monoio::time::sleep(DRAIN_TIME).await;
+        let since = Instant::now();
+        for machine in [&front, &back] {
+            let res = machine
+                .send_request(http::Method::GET, "/look/1", "id-2")
+                .await;
+            assert_eq!(res.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(res.header("retry-after").is_some());
+        }
+        assert_eq!(back.instance.arrivals_since(since), 0);
+        (front, back)
+    });
+}
+
 #[test]
 fn followers_get_a_configuration_from_the_leaders() {
     with_fleet(7, |store, front, back| async move {
