Read the store anew when its offsets do not continue

What operators saw: nothing; configurations and orders written after the store had lost records or begun a new era were not in force, until the log had grown past the offset up to which the daemons had read the earlier one.

Tests first: a_configuration_is_read_after_the_offsets_of _the_store_went_back, a_configuration_of_a_new_era_of_the_store_is_read and announcements_that_the_store_lost_are _written_again failed before; deleted_records_are_noticed_whatever_the_store_says_of_them passed, as a daemon whose calls fail stops leading and starts anew when it leads again; the client reports that case as such now.

Change: positions carry the era, the client compares it and the end, and a reader starts again from the newest records. What was believed to be stored is forgotten, and an order after the break is numbered after the known one.

--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -27,8 +27,8 @@
     pub target: VersionName,
     /// Time within which the move must complete.
     pub within: Duration,
-    /// Offset of the order in the operator's topic; identifies the order, and a later one is
-    /// higher.
+    /// Offset of the order in the operator's topic, or a higher number if the store's offsets went back;
+    /// identifies the order, and a later one is higher.
     pub offset: Offset,
 }
 
@@ -161,6 +161,8 @@
 #[derive(Debug, Default)]
 pub struct Moves {
     records: FastMap<ServiceName, MoveRecord>,
+    /// Whether orders may have lower offsets than earlier ones.
+    have_offsets_gone_back: bool,
 }
 
 impl Moves {
@@ -176,6 +178,33 @@
         true
     }
 
+    /// Records that the offsets of the operator's topic went back.
+    pub fn offsets_went_back(&mut self) {
+        self.have_offsets_gone_back = true;
+    }
+
+    /// Returns an order that was read from the store with the number that orders it after the known
+    /// ones. After the offsets went back, a lower one with the same content as the known order is that
+    /// order; daemons that know the same one give the next the same number.
+    #[must_use]
+    pub fn number(&self, order: MoveOrder) -> MoveOrder {
+        let known = self.records.get(&order.service).map(|record| &record.order);
+        let is_outdated = |known: &&MoveOrder| order.offset <= known.offset;
+        let Some(known) = known
+            .filter(is_outdated)
+            .filter(|_| self.have_offsets_gone_back)
+        else {
+            return order;
+        };
+        if known.target == order.target && known.within == order.within {
+            return known.clone();
+        }
+        MoveOrder {
+            offset: known.offset + 1,
+            ..order
+        }
+    }
+
     /// Returns the latest move of a service.
     #[must_use]
     pub fn get(&self, service: &str) -> Option<&MoveRecord> {
--- a/crates/mesh/src/stored_members.rs
+++ b/crates/mesh/src/stored_members.rs
@@ -36,6 +36,11 @@
         self.revisions.insert(daemon.clone(), revision);
     }
 
+    /// Forgets all announcements, as the store may have lost them.
+    pub fn clear(&mut self) {
+        self.revisions.clear();
+    }
+
     /// Whether the store holds this announcement of a daemon.
     #[must_use]
     pub fn contains(&self, daemon: &str, revision: Revision) -> bool {
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -454,3 +454,31 @@
     let answers: Vec<u32> = evidence.routes.iter().map(|(_, c)| c.answers).collect();
     assert_eq!(answers, (188..200).rev().collect::<Vec<_>>());
 }
+
+#[test]
+fn an_order_after_the_offsets_went_back_replaces_the_known_one() {
+    let mut moves = Moves::default();
+    moves.merge(record(90, Stage::Complete));
+    let next = MoveOrder {
+        target: "v3".into(),
+        ..order(4)
+    };
+    // A lower offset of the same log is an earlier order.
+    assert_eq!(moves.number(next.clone()), next);
+    moves.offsets_went_back();
+    let numbered = moves.number(next.clone());
+    assert_eq!(numbered.offset, 91);
+    let begun = MoveRecord {
+        order: numbered.clone(),
+        ..record(0, Stage::Sharing(0))
+    };
+    assert!(moves.merge(begun));
+    // Read again, it is the same order; so is one that the store holds under another offset.
+    assert_eq!(moves.number(next), numbered);
+    let reread = MoveOrder {
+        offset: 2,
+        ..numbered.clone()
+    };
+    assert_eq!(moves.number(reread), numbered);
+    assert_eq!(moves.number(order(95)).offset, 95);
+}
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -68,6 +68,7 @@
 impl Node {
     /// Starts a move ordered by the operator.
     pub fn begin_move(&self, order: MoveOrder) {
+        let order = self.moves.borrow().number(order);
         let record = MoveRecord {
             order,
             began: unix_millis(SystemTime::now()),
@@ -246,6 +247,7 @@
         loop {
             self.metrics.record_log_request(LogRequest::Read);
             let newest = self.store.newest(Topic::Reports).await?;
+            let end = newest.position();
             let stored = newest.records.iter().find_map(|record| {
                 let is_same_move = record.key == move_key(decided);
                 let value = record.value.as_ref().filter(|_| is_same_move)?;
@@ -259,11 +261,7 @@
             let value = codec::encode(&Record::Move(record.clone()));
             let records: [(&str, &[u8]); 2] = [(&key, &report), (&move_key(&record), &value)];
             self.metrics.record_log_request(LogRequest::Append);
-            match self
-                .store
-                .put_at(Topic::Reports, &records, newest.end)
-                .await
-            {
+            match self.store.put_at(Topic::Reports, &records, end).await {
                 Ok(_) => return Ok(record),
                 // Another daemon wrote in between; read again.
                 Err(StoreError::OffsetMismatch(_)) => {}
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -18,6 +18,7 @@
 use report::metrics::LogRequest;
 use serde_json::json;
 use users_platform::StoreError;
+use users_platform::StorePosition;
 use users_platform::Topic;
 use users_platform::operator;
 use users_platform::operator::OperatorRecord;
@@ -85,7 +86,7 @@
 /// leader of its zone. Runs until the process ends.
 pub async fn follow_topic(node: SharedNode, topic: Topic) {
     let mut backoff = Backoff::new(BACKOFF, node.random());
-    let mut next_offset: Option<Offset> = None;
+    let mut next: Option<StorePosition> = None;
     let mut is_store_available = true;
     let mut is_following = match topic {
         Topic::Operator => node.wait_for_leaders().await == Source::Leaders,
@@ -101,23 +102,26 @@
             if node.is_reader(topic) {
                 // Reading the newest record of each key costs less than replaying the skipped
                 // records.
-                next_offset = None;
+                next = None;
                 is_following = false;
             }
             continue;
         }
-        let read = match next_offset {
+        let read = match &next {
             None => node.read_newest(topic).await,
-            Some(next_offset) => node.read_from(topic, next_offset).await,
+            Some(position) => node.read_from(topic, position).await,
         };
         node.metrics.record_log_request(LogRequest::Read);
-        let has_answered = matches!(read, Ok(_) | Err(StoreError::Expired(_)));
+        let has_answered = matches!(
+            read,
+            Ok(_) | Err(StoreError::Expired(_) | StoreError::Discontinuity(_))
+        );
         let now = Instant::now();
         node.election
             .borrow_mut()
             .record_store_call(has_answered, now);
         match read {
-            Ok(next) => {
+            Ok(position) => {
                 if !is_store_available {
                     node.log_state(
                         "store-regained",
@@ -125,7 +129,7 @@
                     );
                 }
                 is_store_available = true;
-                next_offset = Some(next);
+                next = Some(position);
                 is_following = true;
                 if let Some(wait) = claim_wait.take() {
                     monoio::time::sleep(wait).await;
@@ -135,11 +139,24 @@
             Err(StoreError::Expired(first)) => {
                 node.log_state(
                     "records-expired",
-                    || json!({ "topic": format!("{topic:?}"), "from": next_offset, "first": first }),
+                    || json!({ "topic": format!("{topic:?}"), "from": offset(next.as_ref()), "first": first }),
                 );
-                next_offset = None;
+                next = None;
                 is_following = false;
             }
+            Err(StoreError::Discontinuity(discontinuity)) => {
+                node.log_state("offsets-invalid", || {
+                    json!({
+                        "topic": format!("{topic:?}"),
+                        "from": offset(next.as_ref()),
+                        "reason": format!("{discontinuity:?}"),
+                    })
+                });
+                node.forget_stored(topic);
+                next = None;
+                is_following = false;
+                monoio::time::sleep(backoff.next_delay()).await;
+            }
             Err(e) => {
                 if is_store_available {
                     node.log_state(
@@ -154,6 +171,10 @@
     }
 }
 
+fn offset(position: Option<&StorePosition>) -> Option<Offset> {
+    position.map(|position| position.offset)
+}
+
 /// Fetches the configuration or the members from peers that announced newer ones.
 pub async fn fetch_from_peers(node: SharedNode) {
     loop {
@@ -257,8 +278,18 @@
             .is_expected_leader(&boot.daemon, &boot.zone, own)
     }
 
-    async fn read_newest(&self, topic: Topic) -> Result<Offset, StoreError> {
+    /// Discards what this daemon believes to be stored, since the store may have lost it.
+    fn forget_stored(&self, topic: Topic) {
+        match topic {
+            Topic::Mesh => self.stored_members.borrow_mut().clear(),
+            Topic::Operator => self.moves.borrow_mut().offsets_went_back(),
+            Topic::Reports => {}
+        }
+    }
+
+    async fn read_newest(&self, topic: Topic) -> Result<StorePosition, StoreError> {
         let newest = self.store.newest(topic).await?;
+        let position = newest.position();
         for record in newest.records {
             self.apply_record(topic, record);
         }
@@ -266,11 +297,18 @@
             self.has_loaded_members.set(true);
             self.pending_members.borrow_mut().clear();
         }
-        Ok(newest.end)
+        Ok(position)
     }
 
-    async fn read_from(&self, topic: Topic, from: Offset) -> Result<Offset, StoreError> {
-        let page = self.store.read(topic, from, LONG_POLL_TIMEOUT).await?;
+    async fn read_from(
+        &self,
+        topic: Topic,
+        from: &StorePosition,
+    ) -> Result<StorePosition, StoreError> {
+        let page = self
+            .store
+            .read(topic, from.clone(), LONG_POLL_TIMEOUT)
+            .await?;
         let got_records = !page.records.is_empty();
         let digest = self.directory.borrow().digest();
         for record in page.records {
@@ -280,7 +318,10 @@
             let has_news = self.directory.borrow().digest() != digest;
             monoio::time::sleep(batch_delay(topic, has_news)).await;
         }
-        Ok(page.next)
+        Ok(StorePosition {
+            era: from.era.clone(),
+            offset: page.next,
+        })
     }
 
     async fn fetch(&self, from: SocketAddr, path: &str) -> Option<Bytes> {
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod fleet;
 mod notices;
+mod store;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/sidecar/tests/end_to_end/store.rs
@@ -0,0 +1,100 @@
+//! The store loses records, or its offsets no longer name the same ones.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fleet::Machine;
+use crate::fleet::append;
+use crate::fleet::put_config;
+use crate::fleet::wait_until;
+use crate::fleet::with_fleet;
+
+/// Time in which a stored configuration must be in force.
+const CONFIG_TIME: Duration = Duration::from_secs(2);
+
+async fn assert_config_in_force(machines: [&Machine; 2], version: u64) {
+    let end = Instant::now() + CONFIG_TIME;
+    while machines
+        .iter()
+        .any(|machine| machine.daemon.config_version() != version)
+    {
+        assert!(
+            Instant::now() < end,
+            "version {version} is not in force after 2 s"
+        );
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[test]
+fn a_configuration_is_read_after_the_offsets_of_the_store_went_back() {
+    with_fleet(15, |store, front, back| async move {
+        for number in 0..20 {
+            append(&store, "keyed.op", "note", format!("{number}").as_bytes());
+        }
+        put_config(&store, 5, "bookings");
+        wait_until("both follow the topic", || {
+            [&front, &back]
+                .iter()
+                .all(|machine| machine.daemon.config_version() == 5)
+        })
+        .await;
+        // A store that does not name its era, and holds a shorter log now.
+        store.with_topic("keyed.op", |topic| topic.go_back(0));
+        put_config(&store, 9, "bookings");
+        assert_config_in_force([&front, &back], 9).await;
+        (front, back)
+    });
+}
+
+#[test]
+fn a_configuration_of_a_new_era_of_the_store_is_read() {
+    with_fleet(16, |store, front, back| async move {
+        store.faults().era.replace("one".into());
+        put_config(&store, 5, "bookings");
+        assert_config_in_force([&front, &back], 5).await;
+        // The new log has grown beyond the offset up to which the daemons read the one before.
+        store.with_topic("keyed.op", |topic| topic.go_back(0));
+        store.faults().era.replace("two".into());
+        put_config(&store, 9, "bookings");
+        for number in 0..20 {
+            append(&store, "keyed.op", "note", format!("{number}").as_bytes());
+        }
+        assert_config_in_force([&front, &back], 9).await;
+        (front, back)
+    });
+}
+
+#[test]
+fn announcements_that_the_store_lost_are_written_again() {
+    with_fleet(17, |store, front, back| async move {
+        store.faults().era.replace("one".into());
+        let is_stored = || {
+            let keys = store.with_topic("keyed.mesh", |topic| topic.newest());
+            let has = |name: &str| keys.iter().any(|(key, ..)| key == name);
+            has("member/machine-2") && has("member/machine-3")
+        };
+        wait_until("both announcements are stored", is_stored).await;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        store.with_topic("keyed.mesh", |topic| topic.go_back(0));
+        store.faults().era.replace("two".into());
+        assert!(!is_stored());
+        wait_until("both announcements are stored again", is_stored).await;
+        (front, back)
+    });
+}
+
+#[test]
+fn deleted_records_are_noticed_whatever_the_store_says_of_them() {
+    with_fleet(18, |store, front, back| async move {
+        store.faults().garbles_expired.set(true);
+        store.faults().is_down.set(true);
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        append(&store, "keyed.op", "note", b"1");
+        store.with_topic("keyed.op", standin_store::Topic::delete_records);
+        put_config(&store, 9, "bookings");
+        store.faults().is_down.set(false);
+        assert_config_in_force([&front, &back], 9).await;
+        (front, back)
+    });
+}
--- a/standins/store/src/service.rs
+++ b/standins/store/src/service.rs
@@ -28,6 +28,10 @@
     pub is_down: Cell<bool>,
     /// Appends take effect but are never answered.
     pub drops_append_responses: Cell<bool>,
+    /// Responses with status 410 carry a body that cannot be decoded.
+    pub garbles_expired: Cell<bool>,
+    /// Era that all responses name in the header `Store-Era`; none if it is empty.
+    pub era: RefCell<SmolStr>,
 }
 
 /// The store. Clones share topics and faults.
@@ -82,11 +86,15 @@
             return Response::text(StatusCode::BAD_REQUEST, "From is missing");
         };
         let deadline = Instant::now() + Duration::from_millis(parse_query("WaitMs").unwrap_or(0));
-        while self.with_topic(name, |topic| topic.end()) <= from && Instant::now() < deadline {
+        // A read beyond the end is answered at once, since nothing can be appended there next.
+        while self.with_topic(name, |topic| topic.end()) == from && Instant::now() < deadline {
             monoio::time::sleep(READ_POLL_INTERVAL).await;
         }
         let page = self.with_topic(name, |topic| topic.page(from));
         let Some(page) = page else {
+            if self.faults.garbles_expired.get() {
+                return Response::text(StatusCode::GONE, "no such records");
+            }
             let first = self.with_topic(name, |topic| topic.first());
             return Response::json(StatusCode::GONE, json!({ "First": first }).to_string());
         };
@@ -108,6 +116,17 @@
 
 impl Handler for StoreService {
     async fn handle(&self, req: Request) -> Response {
+        let res = self.answer(&req).await;
+        let era = self.faults.era.borrow();
+        if era.is_empty() {
+            return res;
+        }
+        res.with_header("store-era", era.as_str())
+    }
+}
+
+impl StoreService {
+    async fn answer(&self, req: &Request) -> Response {
         if self.faults.is_down.get() {
             return Response::text(StatusCode::SERVICE_UNAVAILABLE, "down");
         }
@@ -118,8 +137,8 @@
             return Response::text(StatusCode::BAD_REQUEST, "Topic is missing");
         };
         match req.path() {
-            "/-/log-append" => self.append(&name, &req).await,
-            "/-/log-read" => self.read(&name, &req).await,
+            "/-/log-append" => self.append(&name, req).await,
+            "/-/log-read" => self.read(&name, req).await,
             "/-/log-newest" => self.newest(&name),
             _ => Response::text(StatusCode::NOT_FOUND, "no such call"),
         }
--- a/standins/store/src/topic.rs
+++ b/standins/store/src/topic.rs
@@ -84,6 +84,15 @@
         all
     }
 
+    /// Loses the records from `end` on, as a store that is restored from a backup does. The next record
+    /// gets that offset again.
+    pub fn go_back(&mut self, end: Offset) {
+        let kept = usize::try_from(end.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        self.records.truncate(kept);
+        self.first = self.first.min(end);
+        self.newest.retain(|_, (offset, _)| *offset < end);
+    }
+
     /// Deletes all records, as retention does; the newest value of each key remains.
     pub fn delete_records(&mut self) {
         self.first = self.end();
