Soak: instances state limits and that they leave, and the store begins new eras

The checker binds a machine from the answer that it passed on, sums over all machines, and excuses one that restarts, freezes or is cut off, as the users' rules do.

--- a/standins/store/src/topic.rs
+++ b/standins/store/src/topic.rs
@@ -93,6 +93,19 @@
         self.newest.retain(|_, (offset, _)| *offset < end);
     }
 
+    /// Keeps the newest record of each key only, in their order and under offsets from 0 on, as a store
+    /// that is rebuilt does.
+    pub fn renumber(&mut self) {
+        let mut newest: Vec<_> = self.newest.iter_mut().collect();
+        newest.sort_by_key(|(_, (offset, _))| *offset);
+        self.first = 0;
+        self.records.clear();
+        for (key, (offset, value)) in newest {
+            *offset = self.records.len() as Offset;
+            self.records.push(encode_record(key, value));
+        }
+    }
+
     /// Deletes all records, as retention does; the newest value of each key remains.
     pub fn delete_records(&mut self) {
         self.first = self.end();
@@ -100,6 +113,15 @@
     }
 }
 
+/// Returns a record without its length; the key was taken from one, so its length fits.
+fn encode_record(key: &str, value: &Bytes) -> Bytes {
+    let mut buf = BytesMut::new();
+    buf.put_u8(u8::try_from(key.len()).unwrap_or(u8::MAX));
+    buf.put_slice(key.as_bytes());
+    buf.put_slice(value);
+    buf.freeze()
+}
+
 fn split_record(body: &mut Bytes) -> Result<Bytes, MalformedRecords> {
     let prefix: [u8; 4] = body
         .get(..4)
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -9,6 +9,7 @@
 pub mod clients;
 pub mod instance;
 pub mod machine;
+pub mod notices;
 pub mod plan;
 pub mod proxy;
 pub mod runner;
--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -90,7 +90,14 @@
             let (method, path) = draw_request(&mut rng, count);
             let req = wire::request(method, &path, &id, CLIENT_TIMEOUT);
             let sent = Instant::now();
+            self.shared
+                .notices
+                .borrow_mut()
+                .request_sent(&id, machine, sent);
             let answered = open.call(req, CLIENT_TIMEOUT + RESPONSE_SLACK).await;
+            if let Ok(res) = &answered {
+                self.record_statement(&id, res);
+            }
             let is_success = self.check_response(&id, sent, answered);
             self.count(is_success);
             if is_success {
@@ -99,6 +106,13 @@
         }
     }
 
+    fn record_statement(&self, id: &str, res: &Response) {
+        if let Some((instance, stated)) = wire::stated(res) {
+            let mut notices = self.shared.notices.borrow_mut();
+            notices.answer_passed_on(id, instance, stated, Instant::now());
+        }
+    }
+
     fn count(&self, is_success: bool) {
         let Tally {
             requests,
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -25,6 +25,8 @@
 use crate::soak::checker::Checker;
 use crate::soak::checker::Exposure;
 use crate::soak::checker::Guarantees;
+use crate::soak::notices::NoticeChecker;
+use crate::soak::notices::Statement;
 use crate::soak::wire;
 
 /// Interval of the heartbeats; equals `Heartbeat` in the settings of the daemons.
@@ -65,6 +67,8 @@
 pub struct Shared {
     /// Checker of the run.
     pub checker: RefCell<Checker>,
+    /// Checker of what the instances state in their answers.
+    pub notices: RefCell<NoticeChecker>,
     /// Counts of the requests to the rollout service while the rollout is active.
     pub exposure: Cell<Exposure>,
     /// Whether the target version fails most of its requests.
@@ -95,6 +99,8 @@
     pub version: &'static str,
     /// How the instance handles requests at present.
     pub behaviour: Cell<Behaviour>,
+    /// What it states in its answers.
+    pub statement: Cell<Statement>,
     address: SocketAddr,
     control: SocketAddr,
     name: RefCell<String>,
@@ -120,6 +126,7 @@
             service,
             version,
             behaviour: Cell::new(Behaviour::Good),
+            statement: Cell::default(),
             address,
             control,
             name: RefCell::default(),
@@ -138,6 +145,7 @@
     fn start_new(&self) {
         self.started_at_ms.set(unix_millis(SystemTime::now()));
         self.sequence.set(0);
+        self.statement.set(Statement::default());
         *self.name.borrow_mut() = format!("i-{}-{}", self.address.ip(), self.started_at_ms.get());
         *self.phase.borrow_mut() = Phase::Ready;
     }
@@ -221,6 +229,48 @@
         self.start_new();
     }
 
+    /// Says in its answers that it leaves, while its heartbeats say that it is ready; then deregisters,
+    /// and starts again under a new name.
+    pub async fn leave_by_answers(self: Rc<Self>) {
+        if !matches!(*self.phase.borrow(), Phase::Ready) || self.statement.get().is_leaving {
+            return;
+        }
+        self.statement.set(Statement {
+            is_leaving: true,
+            ..self.statement.get()
+        });
+        let name = self.name.borrow().clone();
+        monoio::time::sleep(DRAIN_LINGER * 2).await;
+        // It may have drained meanwhile.
+        if *self.name.borrow() != name || !matches!(*self.phase.borrow(), Phase::Ready) {
+            return;
+        }
+        self.send(&wire::deregister_path(&name), String::new())
+            .await;
+        *self.phase.borrow_mut() = Phase::Gone;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        self.start_new();
+    }
+
+    /// States a limit, in requests a second, for this time.
+    pub async fn limit_requests(self: Rc<Self>, per_sec: f64, time: Duration) {
+        let before = self.statement.get();
+        let since = before.limit.map_or_else(Instant::now, |(_, since)| since);
+        let limit = Some((per_sec, since));
+        self.statement.set(Statement { limit, ..before });
+        monoio::time::sleep(time).await;
+        // Another limit or instance may have taken its place.
+        let now = self.statement.get();
+        if now.limit == limit {
+            self.statement.set(Statement { limit: None, ..now });
+        }
+    }
+
+    /// Returns the name of the present instance.
+    pub fn name(&self) -> String {
+        self.name.borrow().clone()
+    }
+
     fn count_exposure(&self) {
         if self.service == wire::ROLLOUT_SERVICE && self.shared.is_rollout_active.get() {
             let Exposure { all, target } = self.shared.exposure.get();
@@ -237,7 +287,8 @@
     async fn handle(&self, req: Request) -> Response {
         let id = req.header(wire::REQUEST_ID).unwrap_or_default().to_owned();
         let answer = |status: StatusCode, body: Vec<u8>| {
-            Response::new(status, body).with_header(wire::REQUEST_ID, &id)
+            let res = Response::new(status, body).with_header(wire::REQUEST_ID, &id);
+            wire::with_statement(res, self.statement.get(), &self.name())
         };
         let is_addressee = wire::target_instance(&req) == Some(self.name.borrow().as_str());
         if !is_addressee || matches!(*self.phase.borrow(), Phase::Gone) {
@@ -250,6 +301,16 @@
             let mut checker = self.shared.checker.borrow_mut();
             checker.reached_draining(&id, at, Instant::now());
         }
+        let violation = self.shared.notices.borrow_mut().arrived(
+            &id,
+            &self.name(),
+            self.statement.get(),
+            Instant::now(),
+        );
+        if let Some(text) = violation {
+            let mut checker = self.shared.checker.borrow_mut();
+            checker.add_timed_violation(text);
+        }
         let draw: u32 = self.rng.borrow_mut().random_range(0..100);
         let behaviour = self.behaviour.get();
         if behaviour == Behaviour::Fails && draw < 30 {
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -55,6 +55,12 @@
     },
     /// The instance announces that it drains, deregisters, and starts again under a new name.
     Drain(MachineId),
+    /// The instance says in its answers only that it leaves, deregisters, and starts again under a new
+    /// name.
+    LeaveByAnswers(MachineId),
+    /// The instance states this limit in its answers, in tenths of requests a second, for this many
+    /// milliseconds.
+    LimitRequests(MachineId, u16, u64),
     /// Sends SIGHUP.
     Reload(MachineId),
     /// Sends SIGTERM, and starts a new process after the exit.
@@ -79,6 +85,8 @@
     StoreLosesResponses(u64),
     /// The store deletes all records except the newest of each key.
     CompactStore,
+    /// The store begins a new era, in which the newest records have other, lower offsets.
+    RenumberStore,
 }
 
 impl Action {
@@ -90,6 +98,8 @@
             Self::Configure
                 | Self::Rollout { .. }
                 | Self::Drain(_)
+                | Self::LeaveByAnswers(_)
+                | Self::LimitRequests(..)
                 | Self::Reload(_)
                 | Self::Restart(_)
         )
@@ -108,6 +118,16 @@
 /// Mean time between two steps. Most faults last longer, so that several overlap.
 const STEP_INTERVAL: Duration = Duration::from_millis(450);
 
+/// First seed with statements of instances and of the store. Earlier ones keep the plans under which
+/// they are listed.
+const FIRST_SEED_WITH_NOTICES: u64 = 10_000;
+
+/// Mean time between two statements.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Limits that instances state, in tenths of requests a second.
+const LIMITS: [u16; 6] = [0, 3, 10, 40, 100, 250];
+
 /// The rollout is ordered at the plan's length divided by this, so that it ends before the plan
 /// does.
 const ROLLOUT_START_DIVISOR: u32 = 6;
@@ -146,10 +166,36 @@
             });
         }
     }
+    if seed >= FIRST_SEED_WITH_NOTICES {
+        steps.extend(draw_notices(seed, plan_kind, length, machines));
+    }
     steps.sort_by_key(|step| step.at);
     (plan_kind, steps)
 }
 
+/// Draws the statements of instances and of the store.
+fn draw_notices(
+    seed: u64,
+    plan_kind: PlanKind,
+    length: Duration,
+    machines: usize,
+) -> impl Iterator<Item = Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut at = Duration::ZERO;
+    std::iter::from_fn(move || {
+        at += NOTICE_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        let machine = rng.random_range(0..machines);
+        let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+        let ms = rng.random_range(4000..9000);
+        let action = match rng.random_range(0..8) {
+            0..5 => Action::LimitRequests(machine, limit, ms),
+            7 if plan_kind == PlanKind::Mixed => Action::RenumberStore,
+            _ => Action::LeaveByAnswers(machine),
+        };
+        (at < length).then_some(Step { at, action })
+    })
+}
+
 fn draw_action(rng: &mut SmallRng, plan_kind: PlanKind, machines: usize) -> Action {
     let machine = rng.random_range(0..machines);
     let ms = rng.random_range(200..2500);
--- a/xtask/src/soak/runner.rs
+++ b/xtask/src/soak/runner.rs
@@ -31,6 +31,7 @@
 use crate::soak::plan;
 use crate::soak::plan::Action;
 use crate::soak::plan::LinkMode;
+use crate::soak::plan::MachineId;
 use crate::soak::plan::PlanKind;
 use crate::soak::plan::Step;
 use crate::soak::wire;
@@ -231,6 +232,12 @@
         checker.note_fault(Instant::now() + time);
     }
 
+    /// Records that a machine need not know what instances stated to its daemon.
+    fn excuse_from_notices(&self, machine: MachineId) {
+        let mut notices = self.clients.shared.notices.borrow_mut();
+        notices.machine_disturbed(machine);
+    }
+
     fn apply(&self, action: Action) -> Result<()> {
         if !action.is_planned() {
             self.note_fault_for(RESTART_TIME);
@@ -242,25 +249,47 @@
             Action::Drain(number) => {
                 monoio::spawn(Rc::clone(&machine(number).instance).drain());
             }
+            Action::LeaveByAnswers(number) => {
+                monoio::spawn(Rc::clone(&machine(number).instance).leave_by_answers());
+            }
+            Action::LimitRequests(number, tenths, ms) => {
+                let instance = Rc::clone(&machine(number).instance);
+                let per_sec = f64::from(tenths) / 10.0;
+                monoio::spawn(instance.limit_requests(per_sec, Duration::from_millis(ms)));
+            }
             Action::Reload(number) => machine(number).signal(Signal::Reload)?,
-            Action::Restart(number) => self.restart(machine(number)),
-            Action::Kill(number) => machine(number).kill()?,
+            Action::Restart(number) => {
+                self.excuse_from_notices(number);
+                self.restart(machine(number));
+            }
+            Action::Kill(number) => {
+                self.excuse_from_notices(number);
+                machine(number).kill()?;
+            }
             Action::KillAll => {
                 self.note_fault_for(RESTART_TIME * 2);
                 for machine in &self.clients.machines {
+                    self.excuse_from_notices(machine.number);
                     machine.kill()?;
                 }
             }
             Action::Pause(number, ms) => {
+                self.excuse_from_notices(number);
                 let time = self.fault_duration(ms);
-                let machine = machine(number);
-                monoio::spawn(async move { machine.pause(time).await });
+                let (machine, shared) = (machine(number), Rc::clone(&self.clients.shared));
+                monoio::spawn(async move {
+                    let paused = machine.pause(time).await;
+                    shared.notices.borrow_mut().machine_disturbed(number);
+                    paused
+                });
             }
             Action::Degrade(number, link, mode, ms) => {
-                let machine = machine(number);
+                let (machine, shared) = (machine(number), Rc::clone(&self.clients.shared));
                 self.apply_for(ms, move |on| {
                     let mode = if on { mode } else { LinkMode::Pass };
                     machine.proxy(link).set_mode(mode);
+                    let mut notices = shared.notices.borrow_mut();
+                    notices.instance_disturbed(&machine.instance.name());
                 });
             }
             Action::Disconnect(number, link) => machine(number).proxy(link).disconnect_all(),
@@ -282,6 +311,13 @@
                         .with_topic(topic, standin_store::Topic::delete_records);
                 }
             }
+            Action::RenumberStore => {
+                let era = format!("{:?}", Instant::now());
+                self.store.faults().era.replace(era.into());
+                for topic in wire::TOPICS {
+                    self.store.with_topic(topic, standin_store::Topic::renumber);
+                }
+            }
         }
         Ok(())
     }
--- a/xtask/src/soak/wire.rs
+++ b/xtask/src/soak/wire.rs
@@ -12,6 +12,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::soak::notices::Stated;
+use crate::soak::notices::Statement;
+
 /// Service that the rollout changes.
 pub const ROLLOUT_SERVICE: &str = "a";
 /// Service that keeps its version.
@@ -29,6 +32,12 @@
 const TARGET_INSTANCE: &str = "x-target-instance";
 /// Header that marks a response to a request that did not run.
 const NOT_EXECUTED: &str = "x-not-executed";
+/// Header with the requests a second that an instance accepts.
+const LIMIT: &str = "server-limit";
+/// Header of an instance that is leaving.
+const LEAVING: &str = "server-leaving";
+/// Header with the name of the instance that answered; the daemons pass it on.
+const INSTANCE: &str = "x-soak-instance";
 /// Environment variable that names the settings file.
 pub const SETTINGS_VARIABLE: &str = "BRONZEHEAD_BOOT";
 /// Path of the readiness check of a daemon.
@@ -39,6 +48,8 @@
 pub const REPORTS_TOPIC: &str = "keyed.status";
 /// Topic of the records that daemons share with each other.
 pub const DAEMONS_TOPIC: &str = "keyed.mesh";
+/// All topics of the store.
+pub const TOPICS: [&str; 3] = [OPERATOR_TOPIC, REPORTS_TOPIC, DAEMONS_TOPIC];
 /// Host of the requests of clients.
 const CLIENT_HOST: &str = "shop.example";
 /// Host of the probe routes, which show the configuration in force.
@@ -181,6 +192,26 @@
     res.with_header(NOT_EXECUTED, "1")
 }
 
+/// Adds the headers of what an instance states, and its name.
+pub fn with_statement(mut res: Response, statement: Statement, name: &str) -> Response {
+    if let Some((per_sec, _)) = statement.limit {
+        res = res.with_header(LIMIT, per_sec.to_string());
+    }
+    if statement.is_leaving {
+        res = res.with_header(LEAVING, "1");
+    }
+    res.with_header(INSTANCE, name)
+}
+
+/// Returns the name of the instance that answered, and what it stated.
+pub fn stated(res: &Response) -> Option<(&str, Stated)> {
+    let stated = Stated {
+        limit: res.header(LIMIT).is_some(),
+        leaving: res.header(LEAVING).is_some(),
+    };
+    Some((res.header(INSTANCE)?, stated))
+}
+
 /// Creates a client's request; `timeout` becomes its deadline.
 pub fn request(method: Method, path: &str, id: &str, timeout: Duration) -> Request {
     Request::new(method, path, "")
