Let a move prove its target at each raised share before the next step

Cause: the share of a good verdict is that of the elapsed time.

Change: above the first share, a step needs 24 answers since the stage began, as the controller saw it. A version that fails half of its requests then shows on each of two routes.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -197,6 +197,13 @@
         Verdict::Good
     }
 
+    /// Returns the number of answers of a version since the last reset of the counts.
+    #[must_use]
+    pub fn answers(&self, service: &ServiceName, version: &VersionName) -> u32 {
+        let counts = self.counts(service, |other| other == version);
+        counts.values().map(|count| count.answers).sum()
+    }
+
     /// Discards the counts of a service up to now, as after an inconclusive verdict.
     pub fn reset_counts(&mut self, service: &ServiceName) {
         let reports = self.instances.iter_mut();
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -148,7 +148,12 @@
         let instances = self.instances_of(&order.service, &order.target);
         let canary = self.canary.borrow();
         let verdict = canary.verdict(&order.service, &order.target, instances, now);
+        let answers = canary.answers(&order.service, &order.target);
         drop(canary);
+        let verdict = self
+            .stage_evidence
+            .borrow_mut()
+            .verdict_at_stage(record, answers, verdict);
         let elapsed = self.elapsed(record);
         let decided = advance(record, elapsed, verdict);
         if decided.stage != record.stage {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -35,6 +35,7 @@
 use mesh::link::Direction;
 use mesh::link::LinkMeter;
 use mesh::moves::Moves;
+use mesh::moves::StageEvidence;
 use mesh::moves::VersionFilter;
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
@@ -98,6 +99,7 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     pub moves: RefCell<Moves>,
     pub canary: RefCell<CanaryAnalysis>,
+    pub stage_evidence: RefCell<StageEvidence>,
     /// When this daemon first saw each order, by the order's offset.
     pub order_first_seen: RefCell<FastMap<Offset, Instant>>,
     pub dispatcher: InstanceDispatcher,
@@ -163,6 +165,7 @@
             )),
             moves: RefCell::default(),
             canary: RefCell::default(),
+            stage_evidence: RefCell::default(),
             order_first_seen: RefCell::default(),
             dispatcher: InstanceDispatcher::new(boot.instance_address),
             transfers: TransferGate::new(boot.link_mbps),
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -46,6 +46,12 @@
         "a retry was refused as not run although the first attempt may have run",
     ),
     (208, "same cause as 106"),
+    (
+        9107,
+        "a bad version with few answers was moved to its full share and completed at once when its time ended",
+    ),
+    (10_000, "same cause as 9107"),
+    (10_002, "same cause as 9107"),
 ];
 
 /// Returns the definition of the subcommand.
