Encode the state of a limit in a few bytes

The leaders of a zone pass on twenty loads in one datagram. As an enum by names, the limit took 10 to 25 bytes for each, so that a zone with many limited instances went over the packet and was cut: its loads would have been left out (`gossip-cut`). Found by reading; the_limits_of_many_instances_fit_one_datagram failed before.

--- a/crates/mesh/src/rate_limit.rs
+++ b/crates/mesh/src/rate_limit.rs
@@ -95,6 +95,7 @@
 
 /// What the daemon beside an instance reports about its limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LimitReportWire", into = "LimitReportWire")]
 pub enum LimitReport {
     /// The instance has not answered this process of the daemon yet.
     #[default]
@@ -110,6 +111,43 @@
     },
 }
 
+/// Encoding of a [`LimitReport`], since a datagram carries many: the rate in thousandths of a request a
+/// second, or one of the values below, and the used part.
+#[derive(Serialize, Deserialize)]
+struct LimitReportWire(i64, u16);
+
+const WIRE_UNKNOWN: i64 = -2;
+const WIRE_UNLIMITED: i64 = -1;
+
+impl From<LimitReport> for LimitReportWire {
+    fn from(report: LimitReport) -> Self {
+        match report {
+            LimitReport::Unknown => Self(WIRE_UNKNOWN, 0),
+            LimitReport::Unlimited => Self(WIRE_UNLIMITED, 0),
+            LimitReport::Limited {
+                rate,
+                used_permille,
+            } => Self(
+                i64::try_from(rate.per_1000_secs).unwrap_or(i64::MAX),
+                used_permille,
+            ),
+        }
+    }
+}
+
+impl From<LimitReportWire> for LimitReport {
+    fn from(LimitReportWire(rate, used_permille): LimitReportWire) -> Self {
+        match u64::try_from(rate) {
+            Ok(per_1000_secs) => Self::Limited {
+                rate: RequestRate { per_1000_secs },
+                used_permille,
+            },
+            Err(_) if rate == WIRE_UNLIMITED => Self::Unlimited,
+            Err(_) => Self::Unknown,
+        }
+    }
+}
+
 /// Holds the limit of the instance beside this daemon: a token bucket whose rate is the stated one.
 #[derive(Debug, Default)]
 pub struct RateLimiter {
--- a/crates/mesh/src/tests/rate_limit.rs
+++ b/crates/mesh/src/tests/rate_limit.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use protocol::call::Load;
 use protocol::call::NotRunReason;
+use protocol::codec;
 use quickcheck::TestResult;
 use quickcheck::quickcheck;
 
@@ -16,6 +18,8 @@
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RateLimiter;
 use crate::rate_limit::RequestRate;
+use crate::wire::LoadReport;
+use crate::wire::MemberLoad;
 
 /// Time in which a limit must be in force after an instance first stated it.
 const SETTLE: Duration = Duration::from_secs(3);
@@ -216,3 +220,40 @@
     let offer = admission.offer(request(1, 600, now), now);
     assert_eq!(offer, AdmissionDecision::Run);
 }
+
+/// The leaders of a zone pass on twenty loads in a datagram of one packet.
+#[test]
+fn the_limits_of_many_instances_fit_one_datagram() {
+    let report = LoadReport {
+        load: Load {
+            running: 200,
+            queued: 200,
+            slots: 200,
+        },
+        failures_permille: 500,
+        latency_permille: 2000,
+        link_permille: 500,
+        limit: LimitReport::Limited {
+            rate: rate(140.0),
+            used_permille: 1500,
+        },
+    };
+    let encoded = codec::encode(&report);
+    assert_eq!(codec::decode::<LoadReport>(&encoded).unwrap(), report);
+    for limit in [LimitReport::Unknown, LimitReport::Unlimited] {
+        let encoded = codec::encode(&limit);
+        assert!(encoded.len() <= 3);
+        assert_eq!(codec::decode::<LimitReport>(&encoded).unwrap(), limit);
+    }
+    let loads: Vec<MemberLoad> = (0..20)
+        .map(|number| MemberLoad {
+            daemon: format!("sidecar-lautoka-a-{number:03}").into(),
+            report,
+        })
+        .collect();
+    let length = codec::encode(&loads).len();
+    assert!(
+        length <= 1100,
+        "{length} bytes leave no room for the sender's record"
+    );
+}
