Reuse no connection near the idle time that its peer states

Callers could lose a request that may run once: connections to instances were reused for up to 4 s, although an instance may state a shorter time in `Keep-Alive`, and a request that crosses its close may have run.

Test first: a_connection_is_not_reused_near_the_idle_time_that_its_peer_states fails without the change in the pool.

--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -61,6 +61,8 @@
     peer: SocketAddr,
     opened_at: Instant,
     reuse: Reuse,
+    /// Idle time after which the peer closes the connection, as its last response states.
+    idle_timeout: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,6 +103,7 @@
             peer,
             opened_at: Instant::now(),
             reuse: Reuse::Allowed,
+            idle_timeout: None,
         })
     }
 
@@ -122,6 +125,13 @@
         self.reuse == Reuse::Allowed
     }
 
+    /// Idle time after which the peer closes the connection, as its last response states; `None` if it
+    /// states none.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Option<Duration> {
+        self.idle_timeout
+    }
+
     /// Whether nothing has been received since the last response: neither the end of the
     /// connection, nor an unsolicited response.
     pub fn is_idle(&mut self) -> bool {
@@ -154,6 +164,7 @@
         // The head of such a response may declare a body, for which the decoder would wait.
         if !is_head && !is_bodiless(res.status) {
             self.reuse = reuse_after(&res);
+            self.idle_timeout = framing::keep_alive_timeout(&res.headers);
         }
         Ok(res)
     }
--- a/crates/http-edge/src/framing.rs
+++ b/crates/http-edge/src/framing.rs
@@ -3,12 +3,17 @@
 //! Two parsers that disagree on the end of a message allow request smuggling, so ambiguous
 //! framing is rejected.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 
+/// Header in which a peer states how long it keeps an idle connection open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// How the end of the body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -64,6 +69,18 @@
         .any(|item| item.trim().eq_ignore_ascii_case(token))
 }
 
+/// Returns the parameter `timeout` of the header `Keep-Alive`, in whole seconds; `None` if it is missing
+/// or no number.
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let secs = value.split(',').find_map(|parameter| {
+        let (name, value) = parameter.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| value.trim().parse().ok())?
+    })?;
+    Some(Duration::from_secs(secs))
+}
+
 /// Returns the value of a header that must not occur more than once.
 fn single_value<'a>(
     headers: &'a HeaderMap,
--- a/crates/http-edge/src/pool.rs
+++ b/crates/http-edge/src/pool.rs
@@ -16,7 +16,8 @@
 pub struct PoolCfg {
     /// Longest time to open a connection.
     pub connect_timeout: Duration,
-    /// Connections that have been idle for longer are not reused.
+    /// Connections that have been idle for longer are not reused; nor are those idle for half of the time
+    /// that their peer states to keep them.
     pub idle_timeout: Duration,
     /// Connections that were opened longer ago are not reused.
     pub max_age: Duration,
@@ -123,5 +124,8 @@
 }
 
 fn is_fresh(idle: &IdleConn, cfg: &PoolCfg) -> bool {
-    idle.idle_since.elapsed() <= cfg.idle_timeout && idle.conn.opened_at().elapsed() <= cfg.max_age
+    // A request that crosses the peer's close may be lost.
+    let kept_by_peer = idle.conn.idle_timeout().map(|time| time / 2);
+    let idle_timeout = kept_by_peer.map_or(cfg.idle_timeout, |kept| kept.min(cfg.idle_timeout));
+    idle.idle_since.elapsed() <= idle_timeout && idle.conn.opened_at().elapsed() <= cfg.max_age
 }
--- a/crates/http-edge/src/tests/responses.rs
+++ b/crates/http-edge/src/tests/responses.rs
@@ -1,12 +1,19 @@
 //! Tests of how the client reads responses.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
 
 use http::Method;
 
 use crate::CallError;
 use crate::Conn;
 use crate::Limits;
+use crate::Pool;
+use crate::PoolCfg;
 use crate::Request;
 use crate::Response;
 use crate::block_on;
@@ -107,3 +114,51 @@
         assert!(matches!(res, Err(CallError::Broken(_))), "{res:?}");
     });
 }
+
+/// Starts a server that answers the first bytes of each connection and keeps it open.
+fn open_server(response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            // A connection may end without a request.
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream.write_all(response.as_bytes());
+            open.push(stream);
+        }
+    });
+    address
+}
+
+#[test]
+fn a_connection_is_not_reused_near_the_idle_time_that_its_peer_states() {
+    let check = |keep_alive: &str, idle: Duration, is_reused: bool| {
+        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{keep_alive}\r\n");
+        let address = open_server(response);
+        block_on(async {
+            let pool = Pool::new(PoolCfg::default());
+            let mut conn = pool.take(address).await.unwrap();
+            conn.call(Request::get("/"), TIMEOUT).await.unwrap();
+            assert!(conn.is_reusable());
+            let opened_at = conn.opened_at();
+            pool.put(conn);
+            monoio::time::sleep(idle).await;
+            let conn = pool.take(address).await.unwrap();
+            assert_eq!(conn.opened_at() == opened_at, is_reused, "{keep_alive:?}");
+        });
+    };
+    let idle = Duration::from_millis(700);
+    check("keep-alive: timeout=1\r\n", idle, false);
+    check("keep-alive: max=5, Timeout = 1\r\n", idle, false);
+    check("keep-alive: timeout=0\r\n", idle, false);
+    for other in [
+        "",
+        "keep-alive: timeout=5\r\n",
+        "keep-alive: timeout=x\r\n",
+        "keep-alive: 1\r\n",
+    ] {
+        check(other, idle, true);
+    }
+}
