Tell a restarted daemon only limits that were reported recently, and show the limit in force

Callers could have been refused for up to 4 s by a daemon that had restarted: another daemon that had not called its instance since a limit of 0 sent that old limit along, and it was held until the instance answered. A limit is sent along for 10 s after its last report; a restart takes a few seconds.

The gauge of the limit is set with the other gauges, so that it does not keep the limit of an earlier instance.

--- a/crates/mesh/src/balancer.rs
+++ b/crates/mesh/src/balancer.rs
@@ -334,10 +334,10 @@
         self.stats_mut(entry).record_report(report, source, now);
     }
 
-    /// Returns the limit that an instance stated last; `None` if it states none.
+    /// Returns the limit that an instance stated last, if its daemon reported it recently.
     #[must_use]
-    pub fn known_limit(&self, entry: &Entry) -> Option<RequestRate> {
-        self.current_stats(entry)?.limit
+    pub fn known_limit(&self, entry: &Entry, now: Instant) -> Option<RequestRate> {
+        self.current_stats(entry)?.known_limit(now)
     }
 
     /// Returns the last report of a daemon if it came directly, within `max_age`.
--- a/crates/mesh/src/balancer/stats.rs
+++ b/crates/mesh/src/balancer/stats.rs
@@ -15,6 +15,9 @@
 /// Time for which a direct report is preferred to relayed ones, which are older by a gossip round.
 const DIRECT_PREFERENCE: Duration = Duration::from_millis(250);
 
+/// Age up to which a limit is told to a daemon that has restarted; a restart takes a few seconds.
+const LIMIT_MAX_AGE: Duration = Duration::from_secs(10);
+
 #[derive(Debug, Clone)]
 pub(super) struct InstanceStats {
     pub(super) born: UnixMillis,
@@ -23,8 +26,8 @@
     /// Requests sent since the load was reported, and their bytes.
     pub(super) sent_since: u32,
     pub(super) bytes_since: u64,
-    /// Limit that the instance stated last, by the reports of its daemon.
-    pub(super) limit: Option<RequestRate>,
+    /// Limit that the instance stated last, by the reports of its daemon, and when the last of them came.
+    limit: Option<(RequestRate, Instant)>,
     pub(super) relative_latency: f64,
     /// Results of this daemon's own requests to the instance.
     pub(super) health: Health,
@@ -85,10 +88,16 @@
             // The daemon has restarted; what was known before still holds.
             LimitReport::Unknown => {}
             LimitReport::Unlimited => self.limit = None,
-            LimitReport::Limited { rate, .. } => self.limit = Some(rate),
+            LimitReport::Limited { rate, .. } => self.limit = Some((rate, now)),
         }
     }
 
+    /// Returns the limit of the instance, if it was reported recently.
+    pub(super) fn known_limit(&self, now: Instant) -> Option<RequestRate> {
+        let (rate, at) = self.limit?;
+        (now.saturating_duration_since(at) <= LIMIT_MAX_AGE).then_some(rate)
+    }
+
     /// Returns the used part of the link of the instance's machine.
     pub(super) fn link_utilization(&self, link_mbps: u32, cfg: &BalancerCfg, now: Instant) -> f64 {
         let Some(reported) = self.reported else {
--- a/crates/mesh/src/tests/balancer.rs
+++ b/crates/mesh/src/tests/balancer.rs
@@ -270,11 +270,14 @@
         ..report(0, 0)
     };
     balancer.record_report(&one, unknown, ReportSource::Direct, now);
-    assert_eq!(balancer.known_limit(&one), RequestRate::from_per_sec(12.0));
+    let known = |secs| balancer.known_limit(&one, now + Duration::from_secs(secs));
+    assert_eq!(known(3), RequestRate::from_per_sec(12.0));
+    // It may have ended since, and a daemon would hold it until the instance has answered.
+    assert_eq!(known(60), None);
     // Another incarnation of the instance has stated no limit.
     one.member.instance.as_mut().unwrap().born += 1;
-    assert_eq!(balancer.known_limit(&one), None);
+    assert_eq!(balancer.known_limit(&one, now), None);
     balancer.record_report(&one, limited(5.0, 0), ReportSource::Direct, now);
     balancer.record_report(&one, report(0, 0), ReportSource::Direct, now);
-    assert_eq!(balancer.known_limit(&one), None);
+    assert_eq!(balancer.known_limit(&one, now), None);
 }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -212,7 +212,7 @@
             let Some(entry) = self.next_instance(&state, req.body.len()) else {
                 return self.refuse_without_instance(&state);
             };
-            let limit = self.balancer.borrow().known_limit(&entry);
+            let limit = self.balancer.borrow().known_limit(&entry, Instant::now());
             let head = forward_head(&state, &entry, limit);
             let attempt = Attempt::start(self, &entry, &state.route);
             let result = self.forward(&entry, &head, req).await;
--- a/crates/sidecar/src/notices.rs
+++ b/crates/sidecar/src/notices.rs
@@ -7,7 +7,6 @@
 use mesh::instance::Change;
 use mesh::instance::InstanceKey;
 use mesh::rate_limit::LimitNotice;
-use mesh::rate_limit::RequestRate;
 use mesh::wire::ForwardHead;
 use protocol::call::NotRunReason;
 use serde_json::json;
@@ -67,7 +66,6 @@
         let limit = admission.limit();
         drop(admission);
         if limit != before {
-            self.report_limit(limit);
             self.dispatcher.process_queue();
         }
     }
@@ -83,7 +81,6 @@
         let adopted = admission.limit();
         drop(admission);
         if adopted.is_some() {
-            self.report_limit(adopted);
             self.log_state(
                 "instance-limit-adopted",
                 || json!({ "instance": head.instance, "limit": rate.to_string() }),
@@ -98,11 +95,6 @@
         }
     }
 
-    fn report_limit(&self, limit: Option<RequestRate>) {
-        self.metrics
-            .set_instance_limit(limit.map(RequestRate::per_sec));
-    }
-
     /// Refuses all requests to the local instance from now on, as it is leaving. `source` names in the
     /// log what shows that.
     pub(crate) fn refuse_new_requests(&self, key: &InstanceKey, source: &'static str) {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -21,6 +21,7 @@
 use http_edge::Server;
 use http_edge::ServerCfg;
 use mesh::election::strength;
+use mesh::rate_limit::RequestRate;
 use report::metrics::Metrics;
 use report::metrics::MetricsError;
 use serde_json::json;
@@ -254,6 +255,8 @@
             flushed.set(Instant::now());
             let load = node.dispatcher.load();
             node.metrics.set_load(load.running, load.queued);
+            let limit = node.dispatcher.limit().map(RequestRate::per_sec);
+            node.metrics.set_instance_limit(limit);
             log::logger().flush();
         }
     }
