Log why an open move is held, and decide on moves in one pure function

The verdict, the evidence of the stage and the next stage are now decided in mesh::move_decision, so that a test can play a whole move.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -188,15 +188,20 @@
             }
         }
         let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
-        let reporting = self
-            .reports(service, |version| version == target)
-            .filter(|report| now.saturating_duration_since(report.last_report) < EVIDENCE_TTL);
-        if answers < MIN_ANSWERS || reporting.count() * 2 < instances {
+        if answers < MIN_ANSWERS || self.reporting(service, target, now) * 2 < instances {
             return Verdict::InsufficientData;
         }
         Verdict::Good
     }
 
+    /// Returns the number of a version's instances that report evidence.
+    #[must_use]
+    pub fn reporting(&self, service: &ServiceName, version: &VersionName, now: Instant) -> usize {
+        self.reports(service, |other| other == version)
+            .filter(|report| now.saturating_duration_since(report.last_report) < EVIDENCE_TTL)
+            .count()
+    }
+
     /// Returns the number of answers of a version since the last reset of the counts.
     #[must_use]
     pub fn answers(&self, service: &ServiceName, version: &VersionName) -> u32 {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance;
 pub mod latency;
 pub mod link;
+pub mod move_decision;
 pub mod moves;
 pub mod rate_limit;
 pub mod retry_budgets;
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -108,7 +108,7 @@
 }
 
 /// First share, in thousandths; the platform limits a bad version to a tenth of the requests.
-const FIRST_SHARE: Share = 30;
+pub const FIRST_SHARE: Share = 30;
 
 /// Steps of a move: elapsed part of its time and the share from then on, both in thousandths. The
 /// last one leaves old instances time to finish before the move completes. The steps are short, so
@@ -157,42 +157,6 @@
     Stage::Sharing(step.map_or(FIRST_SHARE, |(_, share)| *share).max(current))
 }
 
-/// Answers of the target that a stage above the first share needs for the next one; with fewer, a
-/// version that fails half of its requests is not told from a good one on each of a few routes.
-const STAGE_ANSWERS: u32 = 24;
-
-/// Number of the target's answers when each move entered its present stage, as the controller saw it.
-#[derive(Debug, Default)]
-pub struct StageEvidence {
-    entered: FastMap<ServiceName, (MovePrecedence, u32)>,
-}
-
-impl StageEvidence {
-    /// Returns the verdict for the next step of a move whose target has given `answers` so far. A good
-    /// one holds only once the target has proven itself at the present share: after an outage the steps
-    /// are due all at once.
-    pub fn verdict_at_stage(
-        &mut self,
-        record: &MoveRecord,
-        answers: u32,
-        verdict: Verdict,
-    ) -> Verdict {
-        let precedence = record.precedence();
-        let entered = self
-            .entered
-            .entry(record.order.service.clone())
-            .or_insert((precedence, answers));
-        if entered.0 != precedence || entered.1 > answers {
-            *entered = (precedence, answers);
-        }
-        let is_raised = matches!(record.stage, Stage::Sharing(share) if share > FIRST_SHARE);
-        if verdict == Verdict::Good && is_raised && answers - entered.1 < STAGE_ANSWERS {
-            return Verdict::InsufficientData;
-        }
-        verdict
-    }
-}
-
 /// Moves by service, merged from the store and from gossip.
 #[derive(Debug, Default)]
 pub struct Moves {
--- a/crates/mesh/src/tests/move_steps.rs
+++ b/crates/mesh/src/tests/move_steps.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use crate::canary::Verdict;
+use crate::move_decision::StageEvidence;
 use crate::moves::MoveOrder;
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
 use crate::moves::Stage;
-use crate::moves::StageEvidence;
 use crate::moves::advance;
 use crate::tests::moves::order;
 use crate::tests::moves::record;
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -17,7 +17,6 @@
 use mesh::moves::MoveRecord;
 use mesh::moves::SettleAction;
 use mesh::moves::Stage;
-use mesh::moves::advance;
 use mesh::moves::settle;
 use mesh::wire::Record;
 use protocol::codec;
@@ -146,25 +145,29 @@
         let order = &record.order;
         let now = Instant::now();
         let instances = self.instances_of(&order.service, &order.target);
-        let canary = self.canary.borrow();
-        let verdict = canary.verdict(&order.service, &order.target, instances, now);
-        let answers = canary.answers(&order.service, &order.target);
-        drop(canary);
-        let verdict = self
-            .stage_evidence
-            .borrow_mut()
-            .verdict_at_stage(record, answers, verdict);
         let elapsed = self.elapsed(record);
-        let decided = advance(record, elapsed, verdict);
-        if decided.stage != record.stage {
-            self.log_state("move-decided", || {
+        let canary = self.canary.borrow();
+        let mut decider = self.move_decider.borrow_mut();
+        let decision = decider.decide(record, &canary, instances, elapsed, now);
+        drop((canary, decider));
+        let verdict = decision.verdict;
+        let has_moved = decision.record.stage != record.stage;
+        if has_moved || decision.is_verdict_new {
+            let event = if has_moved {
+                "move-decided"
+            } else {
+                "move-verdict"
+            };
+            self.log_state(event, || {
                 json!({
                     "service": order.service,
                     "target": order.target,
                     "before": format!("{:?}", record.stage),
-                    "stage": format!("{:?}", decided.stage),
+                    "stage": format!("{:?}", decision.record.stage),
                     "verdict": verdict_name(verdict),
                     "evidence": self.describe_evidence(order),
+                    "reporting": decision.reporting,
+                    "instances": instances,
                     "elapsed_ms": elapsed.as_millis(),
                     "within_ms": order.within.as_millis(),
                 })
@@ -173,7 +176,7 @@
         if verdict == Verdict::Inconclusive {
             self.canary.borrow_mut().reset_counts(&order.service);
         }
-        decided
+        decision.record
     }
 
     /// Returns the number of instances of a version that take requests.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -34,8 +34,8 @@
 use mesh::instance::Change;
 use mesh::link::Direction;
 use mesh::link::LinkMeter;
+use mesh::move_decision::MoveDecider;
 use mesh::moves::Moves;
-use mesh::moves::StageEvidence;
 use mesh::moves::VersionFilter;
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
@@ -99,7 +99,7 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     pub moves: RefCell<Moves>,
     pub canary: RefCell<CanaryAnalysis>,
-    pub stage_evidence: RefCell<StageEvidence>,
+    pub move_decider: RefCell<MoveDecider>,
     /// When this daemon first saw each order, by the order's offset.
     pub order_first_seen: RefCell<FastMap<Offset, Instant>>,
     pub dispatcher: InstanceDispatcher,
@@ -165,7 +165,7 @@
             )),
             moves: RefCell::default(),
             canary: RefCell::default(),
-            stage_evidence: RefCell::default(),
+            move_decider: RefCell::default(),
             order_first_seen: RefCell::default(),
             dispatcher: InstanceDispatcher::new(boot.instance_address),
             transfers: TransferGate::new(boot.link_mbps),
