Reproduce EXPOSURE after an outage: a route without proof completes a move

A simulated service has a route of 60 and one of 190 requests a second, and loses all evidence until some seconds before the end of a move. Bounds: the users' share of requests for a bad version, no completion, rollback within 5 s of the fiftieth bad answer.

--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod election;
 mod instance;
+mod move_proof;
 mod move_steps;
 mod moves;
 mod placement;
--- /dev/null
+++ b/crates/mesh/src/tests/move_proof.rs
@@ -0,0 +1,254 @@
+//! Moves of simulated services: whether a bad version is ever completed, and whether a good one is
+//! in time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::DaemonId;
+use base::FULL_SHARE;
+use base::hash;
+
+use crate::canary::CanaryAnalysis;
+use crate::evidence::Evidence;
+use crate::evidence::RouteStats;
+use crate::move_decision::MoveDecider;
+use crate::moves::MoveOrder;
+use crate::moves::MoveRecord;
+use crate::moves::Stage;
+use crate::tests::moves::order;
+use crate::tests::moves::record;
+
+const STEP: Duration = Duration::from_millis(100);
+const WITHIN: Duration = Duration::from_secs(16);
+const SEEDS: u64 = 200;
+
+/// The users' bound on the requests that a bad version may get within the time of its move.
+const EXPOSE_SHARE: f64 = 0.1;
+const EXPOSE_SLACK: f64 = 50.0;
+
+/// One route of the simulated service.
+#[derive(Debug, Clone, Copy)]
+struct SimulatedRoute {
+    name: &'static str,
+    per_second: f64,
+    latency: Duration,
+    /// Share of the target's answers that fail.
+    failing: f64,
+    /// Latency of the target relative to that of the old version.
+    slower: u32,
+}
+
+fn route(name: &'static str, per_second: f64, latency_ms: u64) -> SimulatedRoute {
+    SimulatedRoute {
+        name,
+        per_second,
+        latency: Duration::from_millis(latency_ms),
+        failing: 0.0,
+        slower: 1,
+    }
+}
+
+fn failing(route: SimulatedRoute, failing: f64) -> SimulatedRoute {
+    SimulatedRoute { failing, ..route }
+}
+
+/// A move and what happens to its controller.
+#[derive(Debug, Clone, Copy, Default)]
+struct Scenario {
+    /// Time at which the outage ends in which all evidence was lost and no requests arrived.
+    outage_until: Duration,
+    /// Time at which another daemon becomes the controller, which has no evidence yet.
+    lead_change: Option<Duration>,
+    /// Time at which the daemons beside the target's instances restart.
+    restart: Option<Duration>,
+    /// Time from which on the target fails.
+    failing_from: Duration,
+}
+
+/// Result of a simulated move.
+#[derive(Debug, Default)]
+struct Outcome {
+    completed: Option<Duration>,
+    rolled_back: Option<Duration>,
+    /// Time at which the target got the 50th bad answer.
+    shown_bad: Option<Duration>,
+    to_target: f64,
+    to_service: f64,
+}
+
+/// Requests of one route to one version, with fractions carried over.
+#[derive(Debug, Default, Clone)]
+struct Counted {
+    carry: f64,
+    stats: RouteStats,
+}
+
+impl Counted {
+    /// Records the answers to `requests`. Returns the number of failures.
+    fn record(&mut self, requests: f64, latency: Duration, mut fails: impl FnMut() -> bool) -> u32 {
+        self.carry += requests;
+        let mut failures = 0;
+        while self.carry >= 1.0 {
+            self.carry -= 1.0;
+            let is_failure = fails();
+            failures += u32::from(is_failure);
+            self.stats.record_answer(latency, is_failure);
+        }
+        failures
+    }
+}
+
+/// Returns a number from 0 to 1 that depends on the hash only.
+fn fraction(hash: u64) -> f64 {
+    f64::from(u32::try_from(hash % 1000).unwrap()) / 1000.0
+}
+
+/// Plays a move of a service for three times the time that the order allows.
+fn play(routes: &[SimulatedRoute], scenario: Scenario, seed: u64) -> Outcome {
+    let start = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let mut decider = MoveDecider::default();
+    let mut outcome = Outcome::default();
+    let mut record = MoveRecord {
+        order: MoveOrder {
+            within: WITHIN,
+            ..order(1)
+        },
+        ..record(1, Stage::Sharing(0))
+    };
+    let phase = |index: usize| fraction(hash::stable(&[&seed.to_be_bytes(), &index.to_be_bytes()]));
+    let counted = |offset: usize| -> Vec<Counted> {
+        (0..routes.len())
+            .map(|index| Counted {
+                carry: phase(index + offset),
+                ..Counted::default()
+            })
+            .collect()
+    };
+    let (mut old, mut new) = (counted(0), counted(100));
+    let (mut draws, mut bad_answers, mut incarnation) = (0_u64, 0, 1);
+    let mut elapsed = Duration::ZERO;
+    while elapsed < WITHIN * 3 {
+        let now = start + elapsed;
+        let is_at = |time: Option<Duration>| time == Some(elapsed);
+        if is_at(scenario.lead_change) {
+            (canary, decider) = (CanaryAnalysis::default(), MoveDecider::default());
+        }
+        if is_at(scenario.restart) {
+            (new, incarnation) = (counted(200), incarnation + 1);
+        }
+        let share = match record.stage {
+            Stage::Sharing(share) => f64::from(share) / f64::from(FULL_SHARE),
+            Stage::Complete => 1.0,
+            Stage::RolledBack => 0.0,
+        };
+        if elapsed >= scenario.outage_until {
+            for (index, route) in routes.iter().enumerate() {
+                let requests = route.per_second * STEP.as_secs_f64();
+                if elapsed < WITHIN {
+                    outcome.to_service += requests;
+                    outcome.to_target += requests * share;
+                }
+                old[index].record(requests * (1.0 - share), route.latency, || false);
+                let latency = route.latency * route.slower;
+                let failures = new[index].record(requests * share, latency, || {
+                    draws += 1;
+                    let draw = hash::stable(&[&seed.to_be_bytes(), &draws.to_be_bytes()]);
+                    let is_failing = elapsed >= scenario.failing_from;
+                    is_failing && fraction(draw) < route.failing
+                });
+                bad_answers += failures;
+            }
+        }
+        if bad_answers >= 50 {
+            outcome.shown_bad.get_or_insert(elapsed);
+        }
+        let evidence = |version: &str, counted: &[Counted]| Evidence {
+            service: "catalogue".into(),
+            version: version.into(),
+            born: 1,
+            routes: routes
+                .iter()
+                .zip(counted)
+                .map(|(route, counted)| (route.name.into(), counted.stats.clone()))
+                .filter(|(_, stats)| stats.answers > 0)
+                .collect(),
+        };
+        let daemon = |name: &str| DaemonId::from(name);
+        canary.merge(&daemon("a"), evidence("v1", &old), now);
+        canary.merge(&daemon("b"), evidence("v2", &new), now);
+        if record.is_open() && elapsed >= scenario.outage_until {
+            let decision = decider.decide(&record, &canary, 1, elapsed, now);
+            record = decision.record;
+        }
+        match record.stage {
+            Stage::Complete => outcome.completed.get_or_insert(elapsed),
+            Stage::RolledBack => outcome.rolled_back.get_or_insert(elapsed),
+            Stage::Sharing(_) => &mut elapsed,
+        };
+        elapsed += STEP;
+    }
+    outcome
+}
+
+/// Checks that a bad version is rolled back in each simulation and gets no more requests than the
+/// users allow.
+fn check_bad(routes: &[SimulatedRoute], scenario: Scenario) {
+    for seed in 0..SEEDS {
+        let outcome = play(routes, scenario, seed);
+        let context = format!("seed {seed}, {routes:?}, {scenario:?}: {outcome:?}");
+        assert_eq!(outcome.completed, None, "{context}");
+        let allowed = outcome.to_service * EXPOSE_SHARE + EXPOSE_SLACK;
+        assert!(outcome.to_target <= allowed, "{context}");
+        if let Some(shown) = outcome.shown_bad {
+            let rolled_back = outcome.rolled_back.expect(&context);
+            assert!(rolled_back <= shown + Duration::from_secs(5), "{context}");
+        }
+    }
+}
+
+/// Checks that a good version is complete at this time in each simulation.
+fn check_good(routes: &[SimulatedRoute], scenario: Scenario, by: Duration) {
+    for seed in 0..SEEDS {
+        let outcome = play(routes, scenario, seed);
+        let context = format!("seed {seed}, {routes:?}, {scenario:?}: {outcome:?}");
+        assert!(outcome.completed.is_some_and(|at| at <= by), "{context}");
+    }
+}
+
+fn holds_and_lookups() -> [SimulatedRoute; 2] {
+    [route("hold", 60.0, 290), route("lookup", 190.0, 55)]
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Fault seen on a day with an outage: a busy healthy route proved a version that failed half of its
+/// requests on another route.
+#[test]
+fn a_route_without_proof_does_not_complete_a_move_after_an_outage() {
+    let [hold, lookup] = holds_and_lookups();
+    for outage_s in [11.0, 13.0, 13.7, 14.5, 15.2, 15.9] {
+        let scenario = Scenario {
+            outage_until: seconds(outage_s),
+            ..Scenario::default()
+        };
+        check_bad(&[failing(hold, 0.5), lookup], scenario);
+        check_bad(&[hold, failing(lookup, 0.5)], scenario);
+        let slow = SimulatedRoute { slower: 8, ..hold };
+        check_bad(&[slow, lookup], scenario);
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_in_time() {
+    let within = Scenario::default();
+    check_good(&holds_and_lookups(), within, WITHIN);
+    check_good(
+        &[route("pay", 49.0, 150), route("price", 150.0, 55)],
+        within,
+        WITHIN,
+    );
+    check_good(&[route("browse", 144.0, 220)], within, WITHIN);
+}
