Hold a move until each of its routes has proof that the target is not bad

Cause: a good verdict asked for answers summed over all routes, so a busy healthy route proved the version on the others; the steps of a move followed the clock only, and after an outage all were due at once.

A sequential test now asks on each route for the answers that rule a bad version out: half of the requests faulty at the first share, a quarter at the raised ones, and at the full share from answers at that share, for 1.2 s at least. No answer and slow answers count as faults. Routes with less than a fiftieth of the requests are not waited for unless they fail. While a route lacks proof the share stays below the tenth that a bad version may get. One step at a time. The test is that of crates/rollout; its type is public now.

A test of advance expected a step from 250 to 1000 of 1000; it expects 500 now, which is stricter, and the test of answers at each stage plays the same steps through the whole decision.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -18,6 +18,7 @@
 use crate::evidence::Evidence;
 use crate::evidence::RouteStats;
 use crate::health::Health;
+use crate::route_proof::RouteSample;
 
 /// Time after which an instance that sends no evidence no longer counts as reporting; some rounds
 /// of gossip.
@@ -76,6 +77,8 @@
 pub enum Verdict {
     /// Too few answers or reporting instances.
     InsufficientData,
+    /// No fault shows, but some routes have too few answers to rule one out.
+    Unproven,
     /// The counts show no fault of the target.
     Good,
     /// The target fails or is slow.
@@ -84,6 +87,15 @@
     Inconclusive,
 }
 
+/// Answers that a proof may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProofSpan {
+    /// All answers since the last reset of the counts.
+    Move,
+    /// The answers since the move entered its present stage.
+    Stage,
+}
+
 type InstanceKey = (ServiceName, VersionName, UnixMillis, base::DaemonId);
 
 /// Evidence of all instances, as reported by their daemons.
@@ -100,6 +112,8 @@
     last_report: Instant,
     /// Evidence at the last reset of the counts; it is subtracted from `latest`.
     baseline: Option<Evidence>,
+    /// Evidence when the move entered its stage, or in the first report after that.
+    stage_baseline: Evidence,
     /// Decaying counts of its answers by route, starting after the first report.
     recent: FastMap<RouteName, Health>,
 }
@@ -107,6 +121,7 @@
 impl InstanceReport {
     fn new(evidence: Evidence, now: Instant) -> Self {
         Self {
+            stage_baseline: evidence.clone(),
             latest: evidence,
             last_report: now,
             baseline: None,
@@ -130,12 +145,23 @@
 
     /// Statistics by route since the last reset of the counts.
     fn since_baseline(&self) -> impl Iterator<Item = (&RouteName, RouteStats)> {
-        self.latest.routes.iter().map(|(route, count)| {
-            let earlier = self.baseline.as_ref();
+        self.since(self.baseline.as_ref())
+    }
+
+    fn since(&self, earlier: Option<&Evidence>) -> impl Iterator<Item = (&RouteName, RouteStats)> {
+        self.latest.routes.iter().map(move |(route, count)| {
             let earlier = earlier.and_then(|evidence| evidence.route_stats(route));
             (route, count.delta_since(earlier))
         })
     }
+
+    /// Statistics by route for a proof.
+    fn in_span(&self, span: ProofSpan) -> impl Iterator<Item = (&RouteName, RouteStats)> {
+        self.since(match span {
+            ProofSpan::Move => self.baseline.as_ref(),
+            ProofSpan::Stage => Some(&self.stage_baseline),
+        })
+    }
 }
 
 impl CanaryAnalysis {
@@ -166,11 +192,7 @@
         instances: usize,
         now: Instant,
     ) -> Verdict {
-        let mut new: FastMap<RouteName, Vec<RouteStats>> = FastMap::default();
-        let counts = self.reports(service, |version| version == target);
-        for (route, count) in counts.flat_map(InstanceReport::since_baseline) {
-            new.entry(route.clone()).or_default().push(count);
-        }
+        let new = self.counts_by_instance(service, target, ProofSpan::Move);
         let old = self.counts(service, |version| version != target);
         let verdicts: Vec<Verdict> = new
             .iter()
@@ -194,6 +216,61 @@
         Verdict::Good
     }
 
+    /// Returns the routes on which the answers of the target in `span` do not prove that its rate of
+    /// faulty ones is below `bad_rate`, sorted by name.
+    #[must_use]
+    pub fn unproven_routes(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+        span: ProofSpan,
+        bad_rate: f64,
+    ) -> Vec<RouteName> {
+        let new = self.counts_by_instance(service, target, span);
+        let old = self.counts(service, |version| version != target);
+        let all = self.counts(service, |_| true);
+        let service_requests = all
+            .values()
+            .map(|count| count.answers + count.missing)
+            .sum();
+        let mut unproven: Vec<RouteName> = all
+            .into_keys()
+            .filter(|route| {
+                let counts = new.get(route).cloned().unwrap_or_default();
+                let sample = RouteSample {
+                    new: &sum_better_half(counts),
+                    old: old.get(route),
+                    service_requests,
+                };
+                sample.lacks_proof(bad_rate)
+            })
+            .collect();
+        unproven.sort_unstable();
+        unproven
+    }
+
+    /// Marks the time from which on [`ProofSpan::Stage`] counts the answers of a service.
+    pub fn begin_stage(&mut self, service: &ServiceName) {
+        let reports = self.instances.iter_mut();
+        for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
+            report.stage_baseline = report.latest.clone();
+        }
+    }
+
+    fn counts_by_instance(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        span: ProofSpan,
+    ) -> FastMap<RouteName, Vec<RouteStats>> {
+        let mut counts: FastMap<RouteName, Vec<RouteStats>> = FastMap::default();
+        let reports = self.reports(service, |other| other == version);
+        for (route, count) in reports.flat_map(|report| report.in_span(span)) {
+            counts.entry(route.clone()).or_default().push(count);
+        }
+        counts
+    }
+
     /// Returns the number of a version's instances that report evidence.
     #[must_use]
     pub fn reporting(&self, service: &ServiceName, version: &VersionName, now: Instant) -> usize {
@@ -202,11 +279,11 @@
             .count()
     }
 
-    /// Returns the number of answers of a version since the last reset of the counts.
+    /// Returns the number of answers of a version since the move entered its present stage.
     #[must_use]
-    pub fn answers(&self, service: &ServiceName, version: &VersionName) -> u32 {
-        let counts = self.counts(service, |other| other == version);
-        counts.values().map(|count| count.answers).sum()
+    pub fn answers_at_stage(&self, service: &ServiceName, version: &VersionName) -> u32 {
+        let counts = self.counts_by_instance(service, version, ProofSpan::Stage);
+        counts.values().flatten().map(|count| count.answers).sum()
     }
 
     /// Discards the counts of a service up to now, as after an inconclusive verdict.
@@ -334,7 +411,7 @@
     fn badness(&self) -> f64 {
         let failed = f64::from(self.failures + self.missing);
         let failure_rate = failed / f64::from((self.answers + self.missing).max(1));
-        failure_rate + mean_ms(self) / LATENCY_SCALE_MS
+        failure_rate + self.mean_ms() / LATENCY_SCALE_MS
     }
 
     fn add(&mut self, other: &Self) {
@@ -422,9 +499,10 @@
     if new.answers < MIN_LATENCY_ANSWERS {
         return Verdict::Good;
     }
-    let slow_ms = SLOW_ANSWER_RATIO * mean_ms(old);
+    let slow_ms = SLOW_ANSWER_RATIO * old.mean_ms();
     let allowed = ACCEPTED_SLOW_SHARE + MAX_SLOW_SHARE_RATIO * old.share_slower_than(slow_ms);
-    if mean_ms(new) > MAX_LATENCY_RATIO * mean_ms(old) || new.share_slower_than(slow_ms) > allowed {
+    if new.mean_ms() > MAX_LATENCY_RATIO * old.mean_ms() || new.share_slower_than(slow_ms) > allowed
+    {
         return Verdict::Bad;
     }
     Verdict::Good
@@ -433,8 +511,3 @@
 fn total_failure_rate(count: &RouteStats) -> f64 {
     f64::from(count.failures) / f64::from(count.answers.max(1))
 }
-
-#[allow(clippy::cast_precision_loss)]
-fn mean_ms(count: &RouteStats) -> f64 {
-    count.total_ms as f64 / f64::from(count.answers.max(1))
-}
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -63,12 +63,22 @@
     }
 
     /// Returns the share of answers slower than the first bucket bound at or above `ms`.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(crate) fn share_slower_than(&self, ms: f64) -> f64 {
+        f64::from(self.count_slower_than(ms)) / f64::from(self.answers.max(1))
+    }
+
+    /// Returns the number of answers slower than the first bucket bound at or above `ms`.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(crate) fn count_slower_than(&self, ms: f64) -> u32 {
         let bound_ms = ms as u64;
         let bucket = LATENCY_BOUNDS_MS.partition_point(|bound| *bound < bound_ms);
-        let slower: u32 = self.times.iter().skip(bucket + 1).sum();
-        f64::from(slower) / f64::from(self.answers.max(1))
+        self.times.iter().skip(bucket + 1).sum()
+    }
+
+    /// Returns the mean latency of the answers, in milliseconds.
+    #[allow(clippy::cast_precision_loss)]
+    pub(crate) fn mean_ms(&self) -> f64 {
+        self.total_ms as f64 / f64::from(self.answers.max(1))
     }
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod moves;
 pub mod rate_limit;
 pub mod retry_budgets;
+pub mod route_proof;
 pub mod stored_members;
 pub mod table;
 pub mod transfers;
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -7,48 +7,30 @@
 use base::ServiceName;
 
 use crate::canary::CanaryAnalysis;
+use crate::canary::ProofSpan;
 use crate::canary::Verdict;
+use crate::config::RouteName;
 use crate::moves::FIRST_SHARE;
+use crate::moves::MAX_UNPROVEN_SHARE;
+use crate::moves::MoveOrder;
 use crate::moves::MovePrecedence;
 use crate::moves::MoveRecord;
 use crate::moves::Stage;
 use crate::moves::advance;
 
-/// Answers of the target that a stage above the first share needs for the next one; with fewer, a
-/// version that fails half of its requests is not told from a good one on each of a few routes.
-const STAGE_ANSWERS: u32 = 24;
+/// Rate of faulty answers that the first share must rule out on each route; a version that fails half
+/// of its requests is told with few answers.
+const FIRST_BAD_RATE: f64 = 0.5;
 
-/// Number of the target's answers when each move entered its present stage, as the controller saw it.
-#[derive(Debug, Default)]
-pub struct StageEvidence {
-    entered: FastMap<ServiceName, (MovePrecedence, u32)>,
-}
+/// Rate of faulty answers that the raised shares must rule out on each route.
+const RAISED_BAD_RATE: f64 = 0.25;
 
-impl StageEvidence {
-    /// Returns the verdict for the next step of a move whose target has given `answers` so far. A good
-    /// one holds only once the target has proven itself at the present share: after an outage the steps
-    /// are due all at once.
-    pub fn verdict_at_stage(
-        &mut self,
-        record: &MoveRecord,
-        answers: u32,
-        verdict: Verdict,
-    ) -> Verdict {
-        let precedence = record.precedence();
-        let entered = self
-            .entered
-            .entry(record.order.service.clone())
-            .or_insert((precedence, answers));
-        if entered.0 != precedence || entered.1 > answers {
-            *entered = (precedence, answers);
-        }
-        let is_raised = matches!(record.stage, Stage::Sharing(share) if share > FIRST_SHARE);
-        if verdict == Verdict::Good && is_raised && answers - entered.1 < STAGE_ANSWERS {
-            return Verdict::InsufficientData;
-        }
-        verdict
-    }
-}
+/// Answers of the target that a stage above the first share needs for the next one.
+const STAGE_ANSWERS: u32 = 24;
+
+/// Minimum time at the full share before a move completes: some times the latency of a request, so that
+/// the answers are those of an instance under load.
+const MIN_FULL_SHARE_TIME: Duration = Duration::from_millis(1200);
 
 /// Decision on an open move.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,6 +41,8 @@
     pub verdict: Verdict,
     /// Whether the verdict differs from the one before on a move of the service.
     pub is_verdict_new: bool,
+    /// Routes that still lack a proof for the next stage.
+    pub unproven: Vec<RouteName>,
     /// Instances of the target that report evidence.
     pub reporting: usize,
 }
@@ -66,7 +50,8 @@
 /// Decides on the open moves.
 #[derive(Debug, Default)]
 pub struct MoveDecider {
-    stages: StageEvidence,
+    /// Stage of each move, and when this daemon first saw it as the controller.
+    entered: FastMap<ServiceName, (MovePrecedence, Instant)>,
     last_verdicts: FastMap<ServiceName, Verdict>,
 }
 
@@ -76,21 +61,77 @@
     pub fn decide(
         &mut self,
         record: &MoveRecord,
-        canary: &CanaryAnalysis,
+        canary: &mut CanaryAnalysis,
         instances: usize,
         elapsed: Duration,
         now: Instant,
     ) -> Decision {
-        let order = &record.order;
-        let verdict = canary.verdict(&order.service, &order.target, instances, now);
-        let answers = canary.answers(&order.service, &order.target);
-        let verdict = self.stages.verdict_at_stage(record, answers, verdict);
-        let last_verdict = self.last_verdicts.insert(order.service.clone(), verdict);
+        let MoveOrder {
+            service, target, ..
+        } = &record.order;
+        let entered = self.enter_stage(record, canary, now);
+        let mut verdict = canary.verdict(service, target, instances, now);
+        let mut unproven = Vec::new();
+        if verdict == Verdict::Good {
+            let (span, bad_rate) = required_proof(record.stage);
+            unproven = canary.unproven_routes(service, target, span, bad_rate);
+            verdict = if !unproven.is_empty() {
+                Verdict::Unproven
+            } else if is_too_early(record, canary, now.saturating_duration_since(entered)) {
+                Verdict::InsufficientData
+            } else {
+                Verdict::Good
+            };
+        }
+        let last_verdict = self.last_verdicts.insert(service.clone(), verdict);
         Decision {
             record: advance(record, elapsed, verdict),
             verdict,
             is_verdict_new: last_verdict != Some(verdict),
-            reporting: canary.reporting(&order.service, &order.target, now),
+            unproven,
+            reporting: canary.reporting(service, target, now),
+        }
+    }
+    /// Returns when the move entered its present stage, as this daemon saw it.
+    fn enter_stage(
+        &mut self,
+        record: &MoveRecord,
+        canary: &mut CanaryAnalysis,
+        now: Instant,
+    ) -> Instant {
+        let service = &record.order.service;
+        let precedence = record.precedence();
+        if let Some((known, entered)) = self.entered.get(service)
+            && *known == precedence
+        {
+            return *entered;
+        }
+        canary.begin_stage(service);
+        self.entered.insert(service.clone(), (precedence, now));
+        now
+    }
+}
+
+/// Returns which answers must rule out which rate of faulty ones before the stage after this one.
+fn required_proof(stage: Stage) -> (ProofSpan, f64) {
+    match stage {
+        Stage::Sharing(base::FULL_SHARE..) => (ProofSpan::Stage, RAISED_BAD_RATE),
+        Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE => (ProofSpan::Move, RAISED_BAD_RATE),
+        _ => (ProofSpan::Move, FIRST_BAD_RATE),
+    }
+}
+
+/// Whether a raised stage has shown too little yet: after an outage all stages are due at once.
+fn is_too_early(record: &MoveRecord, canary: &CanaryAnalysis, at_stage: Duration) -> bool {
+    let MoveOrder {
+        service, target, ..
+    } = &record.order;
+    match record.stage {
+        Stage::Sharing(share) if share > FIRST_SHARE => {
+            let is_full = share >= base::FULL_SHARE;
+            (is_full && at_stage < MIN_FULL_SHARE_TIME)
+                || canary.answers_at_stage(service, target) < STAGE_ANSWERS
         }
+        _ => false,
     }
 }
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -116,6 +116,13 @@
 /// tenth of all requests during the move.
 const STEPS: [(u64, Share); 3] = [(0, FIRST_SHARE), (700, 500), (720, 1000)];
 
+/// Steps of a move while routes with few requests lack proof: until the end of its time, the target gets
+/// less than the tenth of all requests that the platform allows.
+const UNPROVEN_STEPS: [(u64, Share); 3] = [(0, FIRST_SHARE), (500, 80), (700, MAX_UNPROVEN_SHARE)];
+
+/// Largest share of a target that lacks proof on some routes.
+pub const MAX_UNPROVEN_SHARE: Share = 150;
+
 /// Elapsed part of the time of a move at which it completes, in thousandths. Of the 16 s that the
 /// users allow for a move, this leaves 2 s to report the result.
 const COMPLETE_AT_PERMILLE: u64 = 860;
@@ -140,21 +147,34 @@
             ..with_stage(Stage::Sharing(FIRST_SHARE))
         },
         Verdict::Inconclusive => record.clone(),
+        Verdict::Unproven => with_stage(unproven_stage(record, current, elapsed)),
         Verdict::Good => with_stage(next_stage(record, current, elapsed)),
     }
 }
 
+fn unproven_stage(record: &MoveRecord, current: Share, elapsed: Duration) -> Stage {
+    let elapsed_permille = elapsed_permille(record, elapsed);
+    let step = UNPROVEN_STEPS
+        .iter()
+        .rfind(|(from, _)| elapsed_permille >= *from);
+    Stage::Sharing(step.map_or(FIRST_SHARE, |(_, share)| *share).max(current))
+}
+
+/// Returns the next stage, one step at a time: after an outage several are due at once.
 fn next_stage(record: &MoveRecord, current: Share, elapsed: Duration) -> Stage {
-    let total_ms = record.order.within.as_millis().max(1);
-    let elapsed_permille = u64::try_from(elapsed.as_millis() * 1000 / total_ms).unwrap_or(u64::MAX);
+    let elapsed_permille = elapsed_permille(record, elapsed);
     if elapsed_permille >= COMPLETE_AT_PERMILLE && current == base::FULL_SHARE {
         return Stage::Complete;
     }
     let step = STEPS
         .iter()
-        .rev()
-        .find(|(from, _)| elapsed_permille >= *from);
-    Stage::Sharing(step.map_or(FIRST_SHARE, |(_, share)| *share).max(current))
+        .find(|(from, share)| *share > current && elapsed_permille >= *from);
+    Stage::Sharing(step.map_or(current, |(_, share)| *share))
+}
+
+fn elapsed_permille(record: &MoveRecord, elapsed: Duration) -> u64 {
+    let total_ms = record.order.within.as_millis().max(1);
+    u64::try_from(elapsed.as_millis() * 1000 / total_ms).unwrap_or(u64::MAX)
 }
 
 /// Moves by service, merged from the store and from gossip.
--- /dev/null
+++ b/crates/mesh/src/route_proof.rs
@@ -0,0 +1,85 @@
+//! Proof, from the answers on one route, that the target of a move is no bad version.
+//!
+//! [`crate::canary`] finds faults that show. A route with few answers shows none, so a move also
+//! needs this proof on each route before its next stage.
+
+use rollout::sequential::Batch;
+
+use crate::evidence::RouteStats;
+
+/// Faulty rate of the answers that is expected of a good version at least: the users' instances
+/// fail up to 1% of their requests, and lose some answers in faults.
+const EXPECTED_FAULTY_RATE: f64 = 0.03;
+
+/// Distance of the rate that a proof rules out from the expected one, at least.
+const MIN_FAULTY_MARGIN: f64 = 0.2;
+
+/// Upper limit of the rates; the likelihood ratio is undefined at 1.
+const MAX_FAULTY_RATE: f64 = 0.95;
+
+/// Minimum answers of the old version on one route for telling slow answers.
+const MIN_LATENCY_ANSWERS: u32 = 20;
+
+/// Ratio to the old version's mean latency above which an answer counts as faulty.
+const SLOW_ANSWER_RATIO: f64 = 4.0;
+
+/// Requests of all versions on a route from which on it may need a proof.
+const MIN_ROUTE_REQUESTS: u32 = 4;
+
+/// A route needs a proof only with more than one in this many of the service's requests: with fewer,
+/// the proof would take longer than moves last.
+const RARE_ROUTE_DIVISOR: u32 = 50;
+
+/// Answers on one route.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteSample<'a> {
+    /// Answers of the target.
+    pub new: &'a RouteStats,
+    /// Answers of the other versions, if there are any.
+    pub old: Option<&'a RouteStats>,
+    /// Requests of the service on all routes.
+    pub service_requests: u32,
+}
+
+impl RouteSample<'_> {
+    /// Whether the route still lacks the proof that the target's faulty rate is below `bad_rate`.
+    #[must_use]
+    pub fn lacks_proof(&self, bad_rate: f64) -> bool {
+        let expected = self
+            .old
+            .map_or(0.0, |old| self.faulty_rate(old))
+            .clamp(EXPECTED_FAULTY_RATE, MAX_FAULTY_RATE - MIN_FAULTY_MARGIN);
+        let batch = Batch {
+            faulty: u64::from(self.faulty(self.new)),
+            calls: u64::from(requests(self.new)),
+            expected,
+            bad: bad_rate.max(expected + MIN_FAULTY_MARGIN),
+        };
+        if batch.is_proof() {
+            return false;
+        }
+        batch.is_suspicious() || !self.is_rare()
+    }
+
+    fn is_rare(&self) -> bool {
+        let seen = requests(self.new) + self.old.map_or(0, requests);
+        seen < MIN_ROUTE_REQUESTS || seen * RARE_ROUTE_DIVISOR < self.service_requests
+    }
+
+    fn faulty_rate(&self, stats: &RouteStats) -> f64 {
+        f64::from(self.faulty(stats)) / f64::from(requests(stats).max(1))
+    }
+
+    /// Returns the number of requests that failed, got no answer or a slow one.
+    fn faulty(&self, stats: &RouteStats) -> u32 {
+        let baseline = self.old.filter(|old| old.answers >= MIN_LATENCY_ANSWERS);
+        let slow = baseline.map_or(0, |old| {
+            stats.count_slower_than(SLOW_ANSWER_RATIO * old.mean_ms())
+        });
+        (stats.failures + stats.missing + slow).min(requests(stats))
+    }
+}
+
+fn requests(stats: &RouteStats) -> u32 {
+    stats.answers + stats.missing
+}
--- a/crates/mesh/src/tests/move_proof.rs
+++ b/crates/mesh/src/tests/move_proof.rs
@@ -178,7 +178,7 @@
         canary.merge(&daemon("a"), evidence("v1", &old), now);
         canary.merge(&daemon("b"), evidence("v2", &new), now);
         if record.is_open() && elapsed >= scenario.outage_until {
-            let decision = decider.decide(&record, &canary, 1, elapsed, now);
+            let decision = decider.decide(&record, &mut canary, 1, elapsed, now);
             record = decision.record;
         }
         match record.stage {
@@ -252,3 +252,44 @@
     );
     check_good(&[route("browse", 144.0, 220)], within, WITHIN);
 }
+
+#[test]
+fn a_quiet_route_without_proof_does_not_complete_a_move() {
+    let lookup = route("lookup", 190.0, 55);
+    for per_second in [6.0, 12.0, 24.0] {
+        let quiet = failing(route("hold", per_second, 290), 0.5);
+        check_bad(&[quiet, lookup], Scenario::default());
+    }
+}
+
+/// Another daemon becomes the controller while the share is raised.
+#[test]
+fn a_new_controller_does_not_complete_a_move_without_proof() {
+    let [hold, lookup] = holds_and_lookups();
+    for change_s in [11.0, 11.3, 11.6, 12.0, 13.0, 13.7] {
+        let scenario = Scenario {
+            lead_change: Some(seconds(change_s)),
+            failing_from: seconds(11.0),
+            ..Scenario::default()
+        };
+        check_bad(&[failing(hold, 0.5), lookup], scenario);
+        check_good(&holds_and_lookups(), scenario, WITHIN);
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_soon_after_an_outage_and_with_quiet_routes() {
+    for outage_s in [11.0, 13.0, 14.5, 15.9, 20.0] {
+        let scenario = Scenario {
+            outage_until: seconds(outage_s),
+            ..Scenario::default()
+        };
+        let by = WITHIN.max(seconds(outage_s + 6.0));
+        check_good(&holds_and_lookups(), scenario, by);
+    }
+    let routes = [route("hold", 12.0, 290), route("lookup", 190.0, 55)];
+    check_good(&routes, Scenario::default(), WITHIN);
+    // Too few requests for a proof within the time of a move.
+    let routes = [route("rare", 3.0, 290), route("lookup", 190.0, 55)];
+    check_good(&routes, Scenario::default(), WITHIN);
+}
--- a/crates/mesh/src/tests/move_steps.rs
+++ b/crates/mesh/src/tests/move_steps.rs
@@ -1,14 +1,15 @@
 //! Steps of moves after outages: orders whose offsets went back, and stages that are due all at once.
 
 use std::time::Duration;
+use std::time::Instant;
 
-use crate::canary::Verdict;
-use crate::move_decision::StageEvidence;
+use crate::canary::CanaryAnalysis;
+use crate::move_decision::MoveDecider;
 use crate::moves::MoveOrder;
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
 use crate::moves::Stage;
-use crate::moves::advance;
+use crate::tests::moves::evidence;
 use crate::tests::moves::order;
 use crate::tests::moves::record;
 
@@ -43,22 +44,52 @@
 /// After an outage most of the time of a move is over, and a bad version has given few answers.
 #[test]
 fn a_move_gets_new_answers_at_each_raised_share_before_the_next_step() {
-    let mut evidence = StageEvidence::default();
+    let start = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let mut decider = MoveDecider::default();
+    let old = evidence("v1", &[("browse", 400, 2, 90)]);
+    canary.merge(&"a".into(), old, start);
     let late = Duration::from_secs(9);
-    let first = record(1, Stage::Sharing(30));
-    let good = Verdict::Good;
-    assert_eq!(evidence.verdict_at_stage(&first, 12, good), good);
-    let raised = advance(&first, late, good);
-    assert_eq!(raised.stage, Stage::Sharing(base::FULL_SHARE));
-    let mut step = |answers, verdict| {
-        let verdict = evidence.verdict_at_stage(&raised, answers, verdict);
-        advance(&raised, late, verdict).stage
+    let mut step = |stage, at_ms, answers| {
+        let now = start + Duration::from_millis(at_ms);
+        let new = evidence("v2", &[("browse", answers, 0, 90)]);
+        canary.merge(&"b".into(), new, now);
+        let decision = decider.decide(&record(1, stage), &mut canary, 1, late, now);
+        decision.record.stage
     };
-    assert_eq!(step(12, good), Stage::Sharing(base::FULL_SHARE));
-    assert_eq!(step(30, good), Stage::Sharing(base::FULL_SHARE));
-    assert_eq!(step(30, Verdict::Bad), Stage::RolledBack);
-    assert_eq!(step(36, good), Stage::Complete);
-    // The counts were reset.
-    assert_eq!(step(3, good), Stage::Sharing(base::FULL_SHARE));
-    assert_eq!(step(27, good), Stage::Complete);
+    let (first, half) = (Stage::Sharing(30), Stage::Sharing(500));
+    let full = Stage::Sharing(base::FULL_SHARE);
+    assert_eq!(step(first, 0, 12), half);
+    assert_eq!(step(half, 100, 12), half);
+    assert_eq!(step(half, 200, 35), half);
+    assert_eq!(step(half, 300, 36), full);
+    assert_eq!(step(full, 400, 40), full);
+    // Enough answers, but not yet at the full load.
+    assert_eq!(step(full, 800, 90), full);
+    assert_eq!(step(full, 1700, 100), Stage::Complete);
+}
+
+/// The answers at the full share count, not those from before it.
+#[test]
+fn a_move_does_not_complete_on_answers_from_before_its_full_share() {
+    let start = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let mut decider = MoveDecider::default();
+    let routes = [("browse", 400, 2, 90), ("hold", 100, 1, 90)];
+    canary.merge(&"a".into(), evidence("v1", &routes), start);
+    let full = Stage::Sharing(base::FULL_SHARE);
+    let mut step = |at_ms, browse, hold| {
+        let now = start + Duration::from_millis(at_ms);
+        let routes = [("browse", browse, 0, 90), ("hold", hold, 0, 90)];
+        canary.merge(&"b".into(), evidence("v2", &routes), now);
+        let late = Duration::from_secs(9);
+        let decision = decider.decide(&record(1, full), &mut canary, 1, late, now);
+        (decision.record.stage, decision.unproven)
+    };
+    assert_eq!(
+        step(0, 60, 60),
+        (full, vec!["browse".into(), "hold".into()])
+    );
+    assert_eq!(step(2000, 160, 65), (full, vec!["hold".into()]));
+    assert_eq!(step(2100, 160, 90), (Stage::Complete, vec![]));
 }
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -42,7 +42,7 @@
     }
 }
 
-fn evidence(version: &str, routes: &[(&str, u32, u32, u64)]) -> Evidence {
+pub fn evidence(version: &str, routes: &[(&str, u32, u32, u64)]) -> Evidence {
     Evidence {
         service: "catalogue".into(),
         version: version.into(),
@@ -202,7 +202,31 @@
     );
     check(Stage::Sharing(60), 6, Verdict::Good, Stage::Sharing(60));
     check(Stage::Sharing(60), 7, Verdict::Good, Stage::Sharing(500));
-    check(Stage::Sharing(250), 8, Verdict::Good, Stage::Sharing(1000));
+    // One step at a time, however many are due.
+    check(Stage::Sharing(30), 9, Verdict::Good, Stage::Sharing(500));
+    check(Stage::Sharing(250), 8, Verdict::Good, Stage::Sharing(500));
+    // A route without proof holds the share below the tenth that a bad version may get.
+    check(Stage::Sharing(0), 1, Verdict::Unproven, Stage::Sharing(30));
+    check(Stage::Sharing(30), 4, Verdict::Unproven, Stage::Sharing(30));
+    check(Stage::Sharing(30), 6, Verdict::Unproven, Stage::Sharing(80));
+    check(
+        Stage::Sharing(30),
+        9,
+        Verdict::Unproven,
+        Stage::Sharing(150),
+    );
+    check(
+        Stage::Sharing(150),
+        20,
+        Verdict::Unproven,
+        Stage::Sharing(150),
+    );
+    check(
+        Stage::Sharing(1000),
+        20,
+        Verdict::Unproven,
+        Stage::Sharing(1000),
+    );
     check(Stage::Sharing(500), 8, Verdict::Good, Stage::Sharing(1000));
     check(Stage::Sharing(1000), 9, Verdict::Good, Stage::Complete);
     check(Stage::Sharing(500), 9, Verdict::Good, Stage::Sharing(1000));
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -30,15 +30,15 @@
 
 /// One batch of calls on a stream.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Batch {
+pub struct Batch {
     /// Calls that failed or were slow.
-    pub(crate) faulty: u64,
+    pub faulty: u64,
     /// All calls, including the faulty ones.
-    pub(crate) calls: u64,
+    pub calls: u64,
     /// Expected rate of faulty calls, above 0 and below 1.
-    pub(crate) expected: f64,
+    pub expected: f64,
     /// Rate of faulty calls that the proof must rule out.
-    pub(crate) bad: f64,
+    pub bad: f64,
 }
 
 impl Detector {
@@ -81,6 +81,18 @@
 }
 
 impl Batch {
+    /// Whether the batch alone proves that the rate is below the bad one.
+    #[must_use]
+    pub fn is_proof(&self) -> bool {
+        self.log_ratio(self.expected, self.bad) >= proof_threshold()
+    }
+
+    /// Whether the batch speaks for the bad rate rather than for the expected one.
+    #[must_use]
+    pub fn is_suspicious(&self) -> bool {
+        self.log_ratio(self.expected, self.bad) < 0.0
+    }
+
     /// Log-likelihood ratio of the batch at rate `a` against rate `b`.
     #[allow(clippy::cast_precision_loss)]
     fn log_ratio(&self, a: f64, b: f64) -> f64 {
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -146,9 +146,9 @@
         let now = Instant::now();
         let instances = self.instances_of(&order.service, &order.target);
         let elapsed = self.elapsed(record);
-        let canary = self.canary.borrow();
+        let mut canary = self.canary.borrow_mut();
         let mut decider = self.move_decider.borrow_mut();
-        let decision = decider.decide(record, &canary, instances, elapsed, now);
+        let decision = decider.decide(record, &mut canary, instances, elapsed, now);
         drop((canary, decider));
         let verdict = decision.verdict;
         let has_moved = decision.record.stage != record.stage;
@@ -165,6 +165,7 @@
                     "before": format!("{:?}", record.stage),
                     "stage": format!("{:?}", decision.record.stage),
                     "verdict": verdict_name(verdict),
+                    "unproven": decision.unproven,
                     "evidence": self.describe_evidence(order),
                     "reporting": decision.reporting,
                     "instances": instances,
@@ -310,6 +311,7 @@
 fn verdict_name(verdict: Verdict) -> &'static str {
     match verdict {
         Verdict::InsufficientData => "open",
+        Verdict::Unproven => "unproven",
         Verdict::Good => "good",
         Verdict::Bad => "bad",
         Verdict::Inconclusive => "unclear",
