Find within three seconds that the store will not answer a waiting read

Cause: the leaders of the zones wait up to 10 s at the store for the next record, and a read that waits when the store goes silent is never answered. Its timeout was 12 s after it was sent, so for up to 12 s no daemon read anything, and no other call is made by which a calm fleet would notice.

The others still wait for 10 s, which costs few calls; one that becomes the first leader drops its waiting read and sends another. A pause after a failed call counts the time that the call took. The stand-in store can be silent now.

Test: a_configuration_is_in_force_in_time_after_the_store_was_silent, failed before (not in force 3 s after the store was back), passes.

--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -34,6 +34,10 @@
 /// zone make a dozen calls a minute.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same for the operator's records at the first leader of a zone. A read that the store never answers
+/// is found by its timeout only, and within three seconds of an outage the leaders must read again.
+const FIRST_LEADER_POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Interval at which a follower checks whether it has become a leader; a tenth of the lifetime of a
 /// leadership claim.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -107,9 +111,13 @@
             }
             continue;
         }
+        let called_at = Instant::now();
         let read = match &next {
             None => node.read_newest(topic).await,
-            Some(position) => node.read_from(topic, position).await,
+            Some(position) => match node.read_until_promoted(topic, position).await {
+                ReadEnd::Read(read) => read,
+                ReadEnd::Promoted => continue,
+            },
         };
         node.metrics.record_log_request(LogRequest::Read);
         let has_answered = matches!(
@@ -165,7 +173,9 @@
                     );
                 }
                 is_store_available = false;
-                monoio::time::sleep(backoff.next_delay()).await;
+                // A call that timed out has waited already.
+                let delay = backoff.next_delay();
+                monoio::time::sleep(delay.saturating_sub(called_at.elapsed())).await;
             }
         }
     }
@@ -207,6 +217,14 @@
     }
 }
 
+/// How a read that waits for records ended.
+enum ReadEnd {
+    /// It was answered, or it failed.
+    Read(Result<StorePosition, StoreError>),
+    /// This daemon became the first leader of its zone, which waits for a shorter time.
+    Promoted,
+}
+
 /// Where a starting daemon gets the configuration from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -223,9 +241,7 @@
     fn is_reader(&self, topic: Topic) -> bool {
         match topic {
             Topic::Operator | Topic::Reports => self.is_leader(),
-            Topic::Mesh => {
-                self.is_leader() && self.election.borrow().is_first_leader(Instant::now())
-            }
+            Topic::Mesh => self.is_first_leader(),
         }
     }
 
@@ -300,15 +316,37 @@
         Ok(position)
     }
 
+    /// Reads from a position on. If this daemon becomes the first leader of its zone meanwhile, the read is
+    /// abandoned: it may have been sent long ago on a connection that has gone silent.
+    async fn read_until_promoted(&self, topic: Topic, from: &StorePosition) -> ReadEnd {
+        if topic != Topic::Operator {
+            return ReadEnd::Read(self.read_from(topic, from, LONG_POLL_TIMEOUT).await);
+        }
+        if self.is_first_leader() {
+            return ReadEnd::Read(self.read_from(topic, from, FIRST_LEADER_POLL_TIMEOUT).await);
+        }
+        let promoted = async {
+            while !self.is_first_leader() {
+                monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            }
+        };
+        monoio::select! {
+            read = self.read_from(topic, from, LONG_POLL_TIMEOUT) => ReadEnd::Read(read),
+            () = promoted => ReadEnd::Promoted,
+        }
+    }
+
+    fn is_first_leader(&self) -> bool {
+        self.is_leader() && self.election.borrow().is_first_leader(Instant::now())
+    }
+
     async fn read_from(
         &self,
         topic: Topic,
         from: &StorePosition,
+        wait: Duration,
     ) -> Result<StorePosition, StoreError> {
-        let page = self
-            .store
-            .read(topic, from.clone(), LONG_POLL_TIMEOUT)
-            .await?;
+        let page = self.store.read(topic, from.clone(), wait).await?;
         let got_records = !page.records.is_empty();
         let digest = self.directory.borrow().digest();
         for record in page.records {
--- a/crates/sidecar/tests/end_to_end/store.rs
+++ b/crates/sidecar/tests/end_to_end/store.rs
@@ -12,15 +12,21 @@
 /// Time in which a stored configuration must be in force.
 const CONFIG_TIME: Duration = Duration::from_secs(2);
 
+/// Time after an outage of the store from which on that holds again.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
 async fn assert_config_in_force(machines: [&Machine; 2], version: u64) {
-    let end = Instant::now() + CONFIG_TIME;
+    assert_config_in_force_by(machines, version, Instant::now() + CONFIG_TIME).await;
+}
+
+async fn assert_config_in_force_by(machines: [&Machine; 2], version: u64, end: Instant) {
     while machines
         .iter()
         .any(|machine| machine.daemon.config_version() != version)
     {
         assert!(
             Instant::now() < end,
-            "version {version} is not in force after 2 s"
+            "version {version} is not in force in time"
         );
         monoio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -98,3 +104,20 @@
         (front, back)
     });
 }
+
+/// The reads that wait at the store when it goes silent are never answered, and nothing tells so.
+#[test]
+fn a_configuration_is_in_force_in_time_after_the_store_was_silent() {
+    with_fleet(19, |store, front, back| async move {
+        put_config(&store, 5, "bookings");
+        assert_config_in_force([&front, &back], 5).await;
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        store.faults().is_silent.set(true);
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        store.faults().is_silent.set(false);
+        let stable = Instant::now() + STABLE_TIME;
+        put_config(&store, 9, "bookings");
+        assert_config_in_force_by([&front, &back], 9, stable).await;
+        (front, back)
+    });
+}
--- a/standins/store/src/service.rs
+++ b/standins/store/src/service.rs
@@ -26,6 +26,8 @@
 pub struct Faults {
     /// Every call is refused with status 503 and has no effect.
     pub is_down: Cell<bool>,
+    /// No call is answered, and neither are the reads that wait meanwhile, even later.
+    pub is_silent: Cell<bool>,
     /// Appends take effect but are never answered.
     pub drops_append_responses: Cell<bool>,
     /// Responses with status 410 carry a body that cannot be decoded.
@@ -89,6 +91,7 @@
         // A read beyond the end is answered at once, since nothing can be appended there next.
         while self.with_topic(name, |topic| topic.end()) == from && Instant::now() < deadline {
             monoio::time::sleep(READ_POLL_INTERVAL).await;
+            self.hang_if_silent().await;
         }
         let page = self.with_topic(name, |topic| topic.page(from));
         let Some(page) = page else {
@@ -126,7 +129,14 @@
 }
 
 impl StoreService {
+    async fn hang_if_silent(&self) {
+        if self.faults.is_silent.get() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn answer(&self, req: &Request) -> Response {
+        self.hang_if_silent().await;
         if self.faults.is_down.get() {
             return Response::text(StatusCode::SERVICE_UNAVAILABLE, "down");
         }
