Count the evidence of a daemon that restarted beside a living instance

The controller keeps the larger counts of each instance, so that reports that are late or repeated count once; a daemon that restarts counts from zero, and its reports were dropped until they exceeded those of its earlier process. A report now names the process that counted, and those of earlier processes are added.

Tests: evidence_after_a_restart_of_the_daemon_counts and a_version_that_fails_after_its_daemons_restarted_is_rolled_back, both failed with the old merge (completed although it fails half of a route), pass now.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use base::DaemonId;
 use base::FastMap;
+use base::Incarnation;
 use base::ServiceName;
 use base::UnixMillis;
 use base::VersionName;
@@ -96,7 +98,7 @@
     Stage,
 }
 
-type InstanceKey = (ServiceName, VersionName, UnixMillis, base::DaemonId);
+type InstanceKey = (ServiceName, VersionName, UnixMillis, DaemonId);
 
 /// Evidence of all instances, as reported by their daemons.
 #[derive(Debug, Default)]
@@ -107,6 +109,11 @@
 /// Evidence reported for one instance.
 #[derive(Debug)]
 struct InstanceReport {
+    /// Process of the daemon that sent the latest report.
+    incarnation: Incarnation,
+    /// Sum of the last reports of the earlier processes; each process counts from zero.
+    earlier: Evidence,
+    /// All answers of the instance, `earlier` included.
     latest: Evidence,
     /// Arrival time of the last report.
     last_report: Instant,
@@ -119,8 +126,13 @@
 }
 
 impl InstanceReport {
-    fn new(evidence: Evidence, now: Instant) -> Self {
+    fn new(incarnation: Incarnation, evidence: Evidence, now: Instant) -> Self {
         Self {
+            incarnation,
+            earlier: Evidence {
+                routes: Vec::new(),
+                ..evidence.clone()
+            },
             stage_baseline: evidence.clone(),
             latest: evidence,
             last_report: now,
@@ -129,8 +141,16 @@
         }
     }
 
-    fn update(&mut self, evidence: Evidence, now: Instant) {
+    fn update(&mut self, incarnation: Incarnation, evidence: &Evidence, now: Instant) {
+        if incarnation < self.incarnation {
+            return;
+        }
         self.last_report = now;
+        if incarnation > self.incarnation {
+            self.incarnation = incarnation;
+            self.earlier = self.latest.clone();
+        }
+        let evidence = self.earlier.plus(evidence);
         if self.latest.request_count() >= evidence.request_count() {
             return;
         }
@@ -165,8 +185,14 @@
 }
 
 impl CanaryAnalysis {
-    /// Merges the evidence that a daemon reported for its instance.
-    pub fn merge(&mut self, daemon: &base::DaemonId, evidence: Evidence, now: Instant) {
+    /// Merges the evidence that a process of a daemon reported for its instance.
+    pub fn merge(
+        &mut self,
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        evidence: Evidence,
+        now: Instant,
+    ) {
         let key = (
             evidence.service.clone(),
             evidence.version.clone(),
@@ -174,9 +200,9 @@
             daemon.clone(),
         );
         match self.instances.entry(key) {
-            Entry::Occupied(occupied) => occupied.into_mut().update(evidence, now),
+            Entry::Occupied(occupied) => occupied.into_mut().update(incarnation, &evidence, now),
             Entry::Vacant(vacant) => {
-                vacant.insert(InstanceReport::new(evidence, now));
+                vacant.insert(InstanceReport::new(incarnation, evidence, now));
             }
         }
     }
@@ -415,13 +441,7 @@
     }
 
     fn add(&mut self, other: &Self) {
-        self.answers += other.answers;
-        self.failures += other.failures;
-        self.missing += other.missing;
-        self.total_ms += other.total_ms;
-        for (sum, count) in self.times.iter_mut().zip(other.times) {
-            *sum += count;
-        }
+        Self::add(self, other);
     }
 }
 
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -44,6 +44,17 @@
         self.times[LATENCY_BOUNDS_MS.partition_point(|bound| *bound <= ms)] += 1;
     }
 
+    /// Adds the counts of others.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.failures += other.failures;
+        self.missing += other.missing;
+        self.total_ms += other.total_ms;
+        for (sum, count) in self.times.iter_mut().zip(other.times) {
+            *sum += count;
+        }
+    }
+
     /// Returns the difference to an earlier snapshot; everything where there is none.
     pub(crate) fn delta_since(&self, earlier: Option<&Self>) -> Self {
         let Some(earlier) = earlier else {
@@ -115,6 +126,18 @@
         }
     }
 
+    /// Returns the sum with later counts of the same instance.
+    pub(crate) fn plus(&self, later: &Self) -> Self {
+        let mut sum = self.clone();
+        for (route, stats) in &later.routes {
+            match sum.routes.iter_mut().find(|(name, _)| name == route) {
+                Some((_, known)) => known.add(stats),
+                None => sum.routes.push((route.clone(), stats.clone())),
+            }
+        }
+        sum
+    }
+
     pub(crate) fn route_stats(&self, name: &RouteName) -> Option<&RouteStats> {
         let mut stats_by_route = self.routes.iter();
         stats_by_route
--- a/crates/mesh/src/tests/move_proof.rs
+++ b/crates/mesh/src/tests/move_proof.rs
@@ -175,8 +175,8 @@
                 .collect(),
         };
         let daemon = |name: &str| DaemonId::from(name);
-        canary.merge(&daemon("a"), evidence("v1", &old), now);
-        canary.merge(&daemon("b"), evidence("v2", &new), now);
+        canary.merge(&daemon("a"), 1, evidence("v1", &old), now);
+        canary.merge(&daemon("b"), incarnation, evidence("v2", &new), now);
         if record.is_open() && elapsed >= scenario.outage_until {
             let decision = decider.decide(&record, &mut canary, 1, elapsed, now);
             record = decision.record;
@@ -293,3 +293,18 @@
     let routes = [route("rare", 3.0, 290), route("lookup", 190.0, 55)];
     check_good(&routes, Scenario::default(), WITHIN);
 }
+
+/// The version fails from the restart on; before it the daemons had counted many good answers.
+#[test]
+fn a_version_that_fails_after_its_daemons_restarted_is_rolled_back() {
+    let [hold, lookup] = holds_and_lookups();
+    for restart_s in [3.0, 8.0, 11.0, 11.6, 12.5] {
+        let scenario = Scenario {
+            restart: Some(seconds(restart_s)),
+            failing_from: seconds(restart_s),
+            ..Scenario::default()
+        };
+        check_bad(&[failing(hold, 0.5), lookup], scenario);
+        check_good(&holds_and_lookups(), scenario, WITHIN);
+    }
+}
--- a/crates/mesh/src/tests/move_steps.rs
+++ b/crates/mesh/src/tests/move_steps.rs
@@ -48,12 +48,12 @@
     let mut canary = CanaryAnalysis::default();
     let mut decider = MoveDecider::default();
     let old = evidence("v1", &[("browse", 400, 2, 90)]);
-    canary.merge(&"a".into(), old, start);
+    canary.merge(&"a".into(), 1, old, start);
     let late = Duration::from_secs(9);
     let mut step = |stage, at_ms, answers| {
         let now = start + Duration::from_millis(at_ms);
         let new = evidence("v2", &[("browse", answers, 0, 90)]);
-        canary.merge(&"b".into(), new, now);
+        canary.merge(&"b".into(), 1, new, now);
         let decision = decider.decide(&record(1, stage), &mut canary, 1, late, now);
         decision.record.stage
     };
@@ -76,12 +76,12 @@
     let mut canary = CanaryAnalysis::default();
     let mut decider = MoveDecider::default();
     let routes = [("browse", 400, 2, 90), ("hold", 100, 1, 90)];
-    canary.merge(&"a".into(), evidence("v1", &routes), start);
+    canary.merge(&"a".into(), 1, evidence("v1", &routes), start);
     let full = Stage::Sharing(base::FULL_SHARE);
     let mut step = |at_ms, browse, hold| {
         let now = start + Duration::from_millis(at_ms);
         let routes = [("browse", browse, 0, 90), ("hold", hold, 0, 90)];
-        canary.merge(&"b".into(), evidence("v2", &routes), now);
+        canary.merge(&"b".into(), 1, evidence("v2", &routes), now);
         let late = Duration::from_secs(9);
         let decision = decider.decide(&record(1, full), &mut canary, 1, late, now);
         (decision.record.stage, decision.unproven)
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -65,8 +65,8 @@
     let check = |new: &[(&str, u32, u32, u64)], expected: Verdict| {
         let mut canary = CanaryAnalysis::default();
         let old = [("browse", 1000, 2, 90), ("hold", 400, 2, 120)];
-        canary.merge(&"a".into(), evidence("v1", &old), Instant::now());
-        canary.merge(&"b".into(), evidence("v2", new), Instant::now());
+        canary.merge(&"a".into(), 1, evidence("v1", &old), Instant::now());
+        canary.merge(&"b".into(), 1, evidence("v2", new), Instant::now());
         let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{new:?}");
     };
@@ -90,12 +90,13 @@
         let mut canary = CanaryAnalysis::default();
         canary.merge(
             &"a".into(),
+            1,
             evidence("v1", &[("browse", 7623, 12, 98)]),
             Instant::now(),
         );
         let mut evidence = evidence("v2", &[("browse", 748, 0, 100)]);
         evidence.routes[0].1.missing = missing;
-        canary.merge(&"b".into(), evidence, Instant::now());
+        canary.merge(&"b".into(), 1, evidence, Instant::now());
         let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{missing} missing");
     };
@@ -110,6 +111,7 @@
         let mut canary = CanaryAnalysis::default();
         canary.merge(
             &"a".into(),
+            1,
             evidence("v1", &[("browse", 1000, 0, 90)]),
             Instant::now(),
         );
@@ -119,7 +121,7 @@
                 .1
                 .record_answer(Duration::from_millis(700), false);
         }
-        canary.merge(&"b".into(), evidence, Instant::now());
+        canary.merge(&"b".into(), 1, evidence, Instant::now());
         let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{slow} slow of 100");
     };
@@ -169,6 +171,7 @@
     for answers in [20, 60, 40, 60] {
         canary.merge(
             &"b".into(),
+            1,
             evidence("v2", &[("browse", answers, 4, 90)]),
             Instant::now(),
         );
@@ -178,6 +181,23 @@
     assert_eq!(verdict, Verdict::Good);
 }
 
+/// A daemon that restarts beside a living instance counts from zero.
+#[test]
+fn evidence_after_a_restart_of_the_daemon_counts() {
+    let mut canary = CanaryAnalysis::default();
+    let now = Instant::now();
+    let old = evidence("v1", &[("browse", 1000, 2, 90)]);
+    canary.merge(&"a".into(), 1, old, now);
+    let before = evidence("v2", &[("browse", 200, 0, 90)]);
+    canary.merge(&"b".into(), 1, before.clone(), now);
+    let after = evidence("v2", &[("browse", 60, 40, 90)]);
+    canary.merge(&"b".into(), 2, after, now);
+    // A late datagram of the former process.
+    canary.merge(&"b".into(), 1, before, now);
+    let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, now);
+    assert_eq!(verdict, Verdict::Bad);
+}
+
 #[test]
 fn share_grows_late_and_a_bad_verdict_rolls_it_back() {
     let check = |stage: Stage, seconds: u64, verdict: Verdict, expected: Stage| {
@@ -342,13 +362,14 @@
         let mut canary = CanaryAnalysis::default();
         canary.merge(
             &"a".into(),
+            1,
             evidence("v1", &[("browse", 2816, 191, 217)]),
             Instant::now(),
         );
         for (index, (answers, failures, mean_ms)) in instances.iter().enumerate() {
             let daemon = format!("b{index}").into();
             let counts = [("browse", *answers, *failures, *mean_ms)];
-            canary.merge(&daemon, evidence("v2", &counts), Instant::now());
+            canary.merge(&daemon, 1, evidence("v2", &counts), Instant::now());
         }
         let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, Instant::now());
         assert_eq!(verdict, expected, "{instances:?}");
@@ -383,8 +404,8 @@
             let now = start + Duration::from_millis(at_ms);
             let old = evidence("v1", &[("browse", old.0, old.1, 260)]);
             let new = evidence("v2", &[("browse", new.0, new.1, 300)]);
-            canary.merge(&"a".into(), old, now);
-            canary.merge(&"b".into(), new, now);
+            canary.merge(&"a".into(), 1, old, now);
+            canary.merge(&"b".into(), 1, new, now);
             canary.verdict(&"catalogue".into(), &"v2".into(), 1, now)
         };
     let good = report_and_judge(&mut canary, 11_100, (11_600, 200), (277, 13));
@@ -436,9 +457,14 @@
     ] {
         let now = start + Duration::from_millis(at_ms);
         let browse = |count: (u32, u32)| [("browse", count.0, count.1, 90)];
-        canary.merge(&"departed".into(), evidence("v1", &browse(departed)), now);
-        canary.merge(&"live".into(), evidence("v1", &browse(live)), now);
-        canary.merge(&"new".into(), evidence("v2", &browse(new)), now);
+        canary.merge(
+            &"departed".into(),
+            1,
+            evidence("v1", &browse(departed)),
+            now,
+        );
+        canary.merge(&"live".into(), 1, evidence("v1", &browse(live)), now);
+        canary.merge(&"new".into(), 1, evidence("v2", &browse(new)), now);
     }
     let now = start + Duration::from_millis(20_500);
     let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, now);
@@ -449,8 +475,18 @@
 fn verdict_needs_reports_of_half_of_the_target_instances() {
     let now = Instant::now();
     let mut canary = CanaryAnalysis::default();
-    canary.merge(&"a".into(), evidence("v1", &[("browse", 900, 1, 90)]), now);
-    canary.merge(&"b".into(), evidence("v2", &[("browse", 60, 0, 90)]), now);
+    canary.merge(
+        &"a".into(),
+        1,
+        evidence("v1", &[("browse", 900, 1, 90)]),
+        now,
+    );
+    canary.merge(
+        &"b".into(),
+        1,
+        evidence("v2", &[("browse", 60, 0, 90)]),
+        now,
+    );
     let check = |instances: usize, later_ms: u64, expected: Verdict| {
         let now = now + Duration::from_millis(later_ms);
         let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), instances, now);
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -346,9 +346,10 @@
     }
 
     fn handle_gossip(&self, gossip: Gossip, from: SocketAddr) {
-        let Some(sender) = gossip.members.first().map(|member| member.daemon.clone()) else {
+        let Some(sender) = gossip.members.first() else {
             return;
         };
+        let (sender, incarnation) = (sender.daemon.clone(), sender.incarnation);
         for member in gossip.members {
             self.merge_member(member, "gossip");
         }
@@ -357,7 +358,7 @@
         if let Some(evidence) = gossip.evidence {
             self.canary
                 .borrow_mut()
-                .merge(&sender, evidence, Instant::now());
+                .merge(&sender, incarnation, evidence, Instant::now());
         }
         for record in gossip.moves {
             self.merge_move(record, "gossip");
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -137,7 +137,8 @@
     fn merge_own_evidence(&self) {
         if let Some(evidence) = self.dispatcher.evidence(self) {
             let mut canary = self.canary.borrow_mut();
-            canary.merge(&self.name(), evidence, Instant::now());
+            let now = Instant::now();
+            canary.merge(&self.name(), self.incarnation.get(), evidence, now);
         }
     }
 
