--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod crashes;
 mod fleet;
 mod notices;
 mod store;
