Quarantine requests that end the instances which run them

Callers of vitrina were refused for 80 s: one request ended each instance that began to run it, 19 in a few seconds, and each end took some eleven other requests with it. It came again under other ids at any machine, and the daemons themselves sent it to a second instance at once. Cause: a request was known by its id only, and no daemon linked the end of an instance with what it ran.

The daemon beside an instance now detects its end (a connection broke and no new one is kept), and reports the requests that it ran to all daemons, by fingerprint of host, path, caller and body. Daemons count the ends under each request since its last answer. From the second on, an instance runs one such request at a time, so the next end tells the cause from the requests beside it; from the third on, the daemon of that instance blocks the request with the most, in gossip and in the store, and clears those that were lost with it. A blocked request is refused at once as not run, at the daemon that takes it and at the one beside the instance. After 20 s it runs once more at one daemon, so one that was blocked by mistake is served again. Counts, reports and records are bounded. An end counts as one missing answer in the evidence on a version, not as one for each request, so no version is rolled back for it.

New tests: a_daemon_that_starts_later_refuses_the_request_at_once and mesh::tests::quarantine.

--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -9,6 +9,7 @@
 mod move_steps;
 mod moves;
 mod placement;
+mod quarantine;
 mod rate_limit;
 mod retry_budgets;
 mod stored_members;
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -24,6 +24,8 @@
 use crate::instance::InstanceId;
 use crate::instance::InstanceKey;
 use crate::moves::MoveRecord;
+use crate::quarantine;
+use crate::quarantine::CrashReport;
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
 
@@ -123,6 +125,8 @@
     pub config: ConfigVersion,
     /// Limit of the instance that the caller side knows.
     pub limit: Option<RequestRate>,
+    /// Whether the caller side knows the request as one to run in isolation.
+    pub is_isolated: bool,
 }
 
 impl ForwardHead {
@@ -174,6 +178,8 @@
     pub config: ConfigVersion,
     /// Announcement of the replying daemon, if the caller side has an older one.
     pub member: Option<Member>,
+    /// The end of the instance with which the answer was lost.
+    pub crash: Option<CrashReport>,
 }
 
 /// Gossip datagram between daemons.
@@ -199,6 +205,10 @@
     pub loads: Vec<MemberLoad>,
     /// Announcements that the sender wrote to the store.
     pub stored: Vec<MemberRevision>,
+    /// Recent ends of instances that the sender knows.
+    pub crashes: Vec<CrashReport>,
+    /// Quarantined requests that the sender knows.
+    pub quarantined: Vec<quarantine::Record>,
 }
 
 /// State of an instance, as the daemon beside it reports it.
@@ -241,4 +251,6 @@
     Member(Member),
     /// Progress of a move.
     Move(MoveRecord),
+    /// A quarantined request.
+    Quarantined(quarantine::Record),
 }
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -123,6 +123,8 @@
     NoConfiguration,
     /// The instance accepts fewer requests a second than it is sent.
     RateLimited,
+    /// Instances have ended under this request, so it is not run.
+    Quarantined,
 }
 
 /// Metadata of the upstream side's reply to a call or a [`ResolveRequest`].
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -114,6 +114,20 @@
         &[],
         "Rate that the upstream beside this daemon accepts from all daemons; infinite if it states none",
     ),
+    metric(
+        "bronzehead_instance_ends_total",
+        MetricKind::Counter,
+        "ends",
+        &[],
+        "Unannounced ends of the upstream beside this daemon under the requests that it ran",
+    ),
+    metric(
+        "bronzehead_requests_quarantined_total",
+        MetricKind::Counter,
+        "requests",
+        &[],
+        "Requests of clients refused since upstreams have ended under them",
+    ),
     metric(
         "bronzehead_instance_requests_total",
         MetricKind::Counter,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -168,6 +168,8 @@
     running_calls: Gauge<u64>,
     queued_calls: Gauge<u64>,
     instance_requests: Counter<u64>,
+    instance_ends: Counter<u64>,
+    requests_quarantined: Counter<u64>,
     instance_limit: Gauge<f64>,
 }
 
@@ -206,6 +208,8 @@
             running_calls: gauge(&meter, "bronzehead_running_calls"),
             queued_calls: gauge(&meter, "bronzehead_queued_calls"),
             instance_requests: counter(&meter, "bronzehead_instance_requests", ""),
+            instance_ends: counter(&meter, "bronzehead_instance_ends", ""),
+            requests_quarantined: counter(&meter, "bronzehead_requests_quarantined", ""),
             instance_limit: meter.f64_gauge("bronzehead_instance_limit").build(),
             registry,
             provider,
@@ -283,6 +287,16 @@
         self.instance_requests.add(1, &[]);
     }
 
+    /// Counts an end of the local instance that no heartbeat had told.
+    pub fn record_instance_end(&self) {
+        self.instance_ends.add(1, &[]);
+    }
+
+    /// Counts a client's request that was refused since instances ended under it.
+    pub fn record_quarantined(&self) {
+        self.requests_quarantined.add(1, &[]);
+    }
+
     /// Sets the rate that the local instance accepts, in requests a second; `None` if it states no
     /// limit.
     pub fn set_instance_limit(&self, per_sec: Option<f64>) {
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -271,6 +271,7 @@
             | NotRunReason::NoInstance => self.record_failure(endpoint, group, Failure::Error, now),
             NotRunReason::Overloaded
             | NotRunReason::RateLimited
+            | NotRunReason::Quarantined
             | NotRunReason::DeadlineTooShort
             | NotRunReason::GivenUp
             | NotRunReason::ProbeBudgetSpent
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -9,6 +9,7 @@
 use base::FastMap;
 use base::FastSet;
 use base::UnixMillis;
+use http_edge::CallError;
 use http_edge::Conn;
 use http_edge::Pool;
 use http_edge::PoolCfg;
@@ -40,6 +41,8 @@
 use crate::logs::EventClass;
 use crate::logs::fingerprint_text;
 use crate::node::Node;
+use crate::quarantine::Loss;
+use crate::quarantine::refuse_blocked;
 use crate::slot::SlotGuard;
 
 /// Slots assumed until the first heartbeat reports them; fewer than any of the users' instances
@@ -58,6 +61,9 @@
 /// Timeout for connecting to the instance on the same machine; a connection takes 1 ms there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time in which the end of the instance closes a connection that it has just accepted.
+const END_SETTLE_TIME: Duration = Duration::from_millis(10);
+
 /// Shortest time left with which a request is sent to the instance, which counts whole milliseconds.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 
@@ -162,6 +168,20 @@
         self.admission.borrow().limit_report(now)
     }
 
+    /// Whether the instance accepts a new connection and keeps it, which then serves a request. One
+    /// that is about to end may still accept.
+    pub(crate) async fn accepts_connection(&self) -> bool {
+        let Ok(mut conn) = self.conns.connect_new(self.instance.get()).await else {
+            return false;
+        };
+        monoio::time::sleep(END_SETTLE_TIME).await;
+        let is_open = conn.is_idle();
+        if is_open {
+            self.conns.put(conn);
+        }
+        is_open
+    }
+
     /// Builds a refusal with the time after which a slot is expected.
     pub fn not_run(&self, reason: NotRunReason) -> NotRun {
         self.admission.borrow().not_run(reason, Instant::now())
@@ -332,8 +352,19 @@
         if let Some(reason) = self.mismatch(head) {
             return self.refuse(reason);
         }
+        if self.is_blocked_here(head) {
+            return Dispatched::without_answer(ForwardOutcome::NotRun(refuse_blocked()));
+        }
         self.adopt_limit(head);
         let deadline = arrived + Duration::from_millis(u64::from(head.left_ms));
+        let mut isolation = None;
+        if self.runs_isolated(head) {
+            let full_value_until = arrived + Duration::from_millis(u64::from(head.full_value_ms));
+            isolation = self.isolation.enter(full_value_until).await;
+            if isolation.is_none() {
+                return self.refuse(NotRunReason::Overloaded);
+            }
+        }
         let Some(admitted) = self.admit(head, arrived, deadline).await else {
             return self.refuse(NotRunReason::GivenUp);
         };
@@ -345,6 +376,9 @@
         if let Some(reason) = self.mismatch(head) {
             return self.refuse(reason);
         }
+        if self.is_blocked_here(head) {
+            return Dispatched::without_answer(ForwardOutcome::NotRun(refuse_blocked()));
+        }
         let address = self.dispatcher.instance.get();
         let mut conn = match self.dispatcher.conns.take(address).await {
             Ok(conn) => conn,
@@ -370,21 +404,30 @@
         self.metrics.record_instance_request();
         let answered = conn.call(req, left + ANSWER_GRACE).await;
         let took = began.elapsed();
-        match answered {
+        let dispatched = match answered {
             Ok(res) => self.conclude(head, res, conn, slot, began),
             Err(e) => {
                 drop(conn);
-                self.record_missing_answer(head, took, &e.to_string());
+                let loss = match &e {
+                    CallError::Broken(_) => self.detect_crash(head).await,
+                    CallError::TooLarge | CallError::TimedOut => Loss::Connection,
+                };
+                self.record_missing_answer(head, took, loss, &e.to_string());
                 Dispatched::without_answer(ForwardOutcome::Unknown)
             }
-        }
+        };
+        drop(isolation);
+        dispatched
     }
 
-    fn record_missing_answer(&self, head: &ForwardHead, took: Duration, reason: &str) {
-        self.dispatcher.record_health(true);
-        self.dispatcher.record_latency(self, head, took, true);
-        self.dispatcher
-            .record_evidence(self, head, EvidenceSample::Missing);
+    /// Records that no answer came. The end of an instance counts once, however many requests it ran.
+    fn record_missing_answer(&self, head: &ForwardHead, took: Duration, loss: Loss, reason: &str) {
+        if loss != Loss::BesideInstance {
+            self.dispatcher.record_health(true);
+            self.dispatcher.record_latency(self, head, took, true);
+            self.dispatcher
+                .record_evidence(self, head, EvidenceSample::Missing);
+        }
         self.event_log.emit(
             EventClass::Failure,
             "answer-missing",
@@ -431,6 +474,7 @@
             InstanceResponse::Misdirected => self.refuse(NotRunReason::WrongVersion),
             InstanceResponse::Mismatched => Dispatched::without_answer(ForwardOutcome::Unknown),
             InstanceResponse::Done | InstanceResponse::Failed => {
+                self.record_quarantine_answer(head.fingerprint);
                 let is_failure = answer == InstanceResponse::Failed;
                 self.dispatcher.record_latency(self, head, took, is_failure);
                 let sample = EvidenceSample::Answer { took, is_failure };
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -15,6 +15,7 @@
 use mesh::balancer::ReportSource;
 use mesh::directory::Entry;
 use mesh::link::Direction;
+use mesh::quarantine::CrashReport;
 use mesh::transfers::needs_grant;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
@@ -200,6 +201,7 @@
         if let Some(member) = reply.member {
             self.merge_member(member, "reply");
         }
+        self.merge_quarantine(reply.crash.into_iter().collect(), Vec::new());
         let is_answered = matches!(reply.outcome, ForwardOutcome::Answered { .. });
         if is_answered
             && responses::decode_notice(&res).is_leaving
@@ -280,7 +282,7 @@
         }
         if req.path() == TRANSFER_PATH && req.header(CALL_HEADER).is_none() {
             return match self.node.answer_grant(&req).await {
-                Some(outcome) => self.node.encode_reply(outcome, None),
+                Some(outcome) => self.node.encode_reply(outcome, None, None),
                 None => Response::text(StatusCode::BAD_REQUEST, "unreadable head"),
             };
         }
@@ -297,13 +299,22 @@
         let now = Instant::now();
         let arrived = now.checked_sub(self.node.stood_still()).unwrap_or(now);
         let result = Box::pin(self.node.dispatch(&head, req, arrived)).await;
-        self.node.encode_reply(result.outcome, result.res)
+        let crash = match result.outcome {
+            ForwardOutcome::Unknown => self.node.crash_of(&head),
+            _ => None,
+        };
+        self.node.encode_reply(result.outcome, result.res, crash)
     }
 }
 
 impl Node {
     /// Builds the reply to a peer from the outcome of its request and the response of the instance.
-    fn encode_reply(&self, outcome: ForwardOutcome, res: Option<Response>) -> Response {
+    fn encode_reply(
+        &self,
+        outcome: ForwardOutcome,
+        res: Option<Response>,
+        crash: Option<CrashReport>,
+    ) -> Response {
         let member = match &outcome {
             ForwardOutcome::NotRun(not_run) => self.corrected_announcement(not_run.reason),
             _ => None,
@@ -313,6 +324,7 @@
             report: self.load_report(),
             config: self.active_table.borrow().version(),
             member,
+            crash,
         };
         let res = res.unwrap_or_else(|| Response::new(StatusCode::SERVICE_UNAVAILABLE, ""));
         self.record_transfer(Direction::Out, res.wire_size());
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -13,6 +13,8 @@
 use mesh::balancer::ReportSource;
 use mesh::directory::Entry;
 use mesh::election::Claim;
+use mesh::quarantine::CrashReport;
+use mesh::quarantine::Record;
 use mesh::wire::Gossip;
 use mesh::wire::LoadReport;
 use mesh::wire::Member;
@@ -197,7 +199,22 @@
     /// Sends this daemon's member record to all daemons of its zone, and to a few of each other zone,
     /// which pass it on.
     pub async fn broadcast_announcement(&self) {
-        let gossip = self.build_gossip(Vec::new());
+        self.broadcast(self.build_gossip(Vec::new())).await;
+    }
+
+    /// Sends the end of an instance, or quarantined requests, to all daemons as
+    /// [`Self::broadcast_announcement`] does.
+    pub async fn broadcast_quarantine(&self, crashes: Vec<CrashReport>, records: Vec<Record>) {
+        let gossip = Gossip {
+            crashes,
+            quarantined: records,
+            evidence: None,
+            ..self.build_gossip(Vec::new())
+        };
+        self.broadcast(gossip).await;
+    }
+
+    async fn broadcast(&self, gossip: Gossip) {
         let zone = self.boot.borrow().zone.clone();
         let own_zone = self.addresses(|member| member.zone == zone);
         self.send_gossip(&gossip, own_zone).await;
@@ -247,6 +264,8 @@
         };
         let relayed = Gossip {
             loads: vec![load],
+            crashes: gossip.crashes.clone(),
+            quarantined: gossip.quarantined.clone(),
             ..self.build_gossip(vec![sender.clone()])
         };
         let receivers = self.addresses(|member| member.zone == zone && member.address != from);
@@ -342,6 +361,8 @@
             wants_relay: false,
             loads: Vec::new(),
             stored: Vec::new(),
+            crashes: self.crash_to_send(),
+            quarantined: self.quarantined_to_send(),
         }
     }
 
@@ -364,6 +385,7 @@
             self.merge_move(record, "gossip");
         }
         self.record_config_version(gossip.config, from);
+        self.merge_quarantine(gossip.crashes, gossip.quarantined);
         for MemberRevision { daemon, revision } in gossip.stored {
             self.stored_members.borrow_mut().record(&daemon, revision);
         }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -14,6 +14,7 @@
 use mesh::config::Route;
 use mesh::directory::Entry;
 use mesh::link::Direction;
+use mesh::quarantine::Standing;
 use mesh::rate_limit::RequestRate;
 use mesh::retry_budgets::LastAttempt;
 use mesh::wire::ForwardHead;
@@ -40,6 +41,7 @@
 use crate::logs::fingerprint_text;
 use crate::node::Node;
 use crate::node::SharedNode;
+use crate::quarantine::refuse_blocked;
 
 /// Timeout of requests that carry no deadline; longer than the timeout of any configured route.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -172,6 +174,10 @@
             last_refusal: None,
             lost_attempt: None,
         };
+        if self.standing(state.fingerprint) == Standing::Blocked {
+            self.record_blocked(&state.id, state.fingerprint);
+            return self.return_refusal(&state, &refuse_blocked());
+        }
         requests::prepare_to_forward(&mut req, &self.own_service());
         self.retry_budgets
             .borrow_mut()
@@ -217,7 +223,8 @@
                 return self.refuse_without_instance(&state);
             };
             let limit = self.balancer.borrow().known_limit(&entry, Instant::now());
-            let head = forward_head(&state, &entry, limit);
+            let mut head = forward_head(&state, &entry, limit);
+            head.is_isolated = self.standing(state.fingerprint) != Standing::Clear;
             let attempt = Attempt::start(self, &entry, &state.route);
             let result = self.forward(&entry, &head, req).await;
             attempt.end(observation(&result));
@@ -234,8 +241,15 @@
     /// Chooses an untried instance or, once the route allows no further one, the one that rejected
     /// the request last.
     fn next_instance(&self, state: &RequestState, body_bytes: usize) -> Option<Entry> {
+        let trial = match self.standing(state.fingerprint) {
+            Standing::TrialDue => Some(self.trial_daemon_of(&state.service, state.fingerprint)?),
+            Standing::Blocked => return None,
+            Standing::Isolated | Standing::Clear => None,
+        };
         let is_allowed = |daemon: &DaemonId| {
-            if state.has_instances_left() {
+            if trial.as_ref().is_some_and(|trial| trial != daemon) {
+                false
+            } else if state.has_instances_left() {
                 !state.tried.contains(daemon)
             } else {
                 state.rejected_by.as_ref() == Some(daemon)
@@ -278,6 +292,9 @@
                     Some(res) => NextStep::Answer(res),
                     None => self.after_lost_attempt(state, entry, "reply carries no response"),
                 },
+                ForwardOutcome::NotRun(not_run) if not_run.reason == NotRunReason::Quarantined => {
+                    NextStep::GiveUp(not_run)
+                }
                 ForwardOutcome::NotRun(not_run) => {
                     retry_unless_exhausted(state, not_run, NotRunBy::Refusal)
                 }
@@ -330,6 +347,10 @@
         if is_limited || now >= state.deadline {
             return false;
         }
+        let standing = self.standing(state.fingerprint);
+        if matches!(standing, Standing::Blocked | Standing::TrialDue) {
+            return false;
+        }
         let decision = self.retry_budgets.borrow_mut().try_spend(
             &state.service,
             last,
@@ -460,5 +481,6 @@
         full_value_ms: left(state.full_value_until),
         config: state.config,
         limit,
+        is_isolated: false,
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 mod move_controller;
 mod node;
 mod notices;
+mod quarantine;
 pub mod run;
 mod slot;
 mod store_sync;
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -283,7 +283,7 @@
     fn decode_move(&self, key: &str, value: &[u8]) -> Option<MoveRecord> {
         match codec::decode(value) {
             Ok(Record::Move(record)) => Some(record),
-            Ok(Record::Member(_)) => None,
+            Ok(Record::Member(_) | Record::Quarantined(_)) => None,
             Err(e) => {
                 self.log_state(
                     "record-unreadable",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -37,6 +37,8 @@
 use mesh::move_decision::MoveDecider;
 use mesh::moves::Moves;
 use mesh::moves::VersionFilter;
+use mesh::quarantine;
+use mesh::quarantine::Quarantine;
 use mesh::retry_budgets::RetryBudgets;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
@@ -59,6 +61,8 @@
 use crate::dispatch::InstanceDispatcher;
 use crate::logs::EventClass;
 use crate::logs::EventLog;
+use crate::quarantine::CrashDetector;
+use crate::quarantine::IsolationGate;
 use crate::transfer::TransferGate;
 
 /// Idle time after which a connection to a peer is not reused; shorter than the time after which
@@ -103,6 +107,11 @@
     /// When this daemon first saw each order, by the order's offset.
     pub order_first_seen: RefCell<FastMap<Offset, Instant>>,
     pub dispatcher: InstanceDispatcher,
+    pub quarantine: RefCell<Quarantine>,
+    pub crash_detector: CrashDetector,
+    pub isolation: IsolationGate,
+    /// Requests that were released from the quarantine, yet to be stored.
+    pub released: RefCell<Vec<quarantine::Record>>,
     pub transfers: TransferGate,
     pub peer_conns: Pool,
     pub store: StoreClient,
@@ -168,6 +177,10 @@
             move_decider: RefCell::default(),
             order_first_seen: RefCell::default(),
             dispatcher: InstanceDispatcher::new(boot.instance_address),
+            quarantine: RefCell::default(),
+            crash_detector: CrashDetector::default(),
+            isolation: IsolationGate::default(),
+            released: RefCell::default(),
             transfers: TransferGate::new(boot.link_mbps),
             peer_conns: Pool::new(pool_cfg),
             store: StoreClient::new(boot.store_address),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -42,6 +42,7 @@
 use crate::move_controller;
 use crate::node::Node;
 use crate::node::SharedNode;
+use crate::quarantine;
 use crate::store_sync;
 
 /// Port of the metrics endpoint; the deployment file names the same one.
@@ -230,6 +231,7 @@
     monoio::spawn(announce::announce(Rc::clone(node)));
     monoio::spawn(announce::write_for_zone(Rc::clone(node)));
     monoio::spawn(move_controller::decide_moves(Rc::clone(node)));
+    monoio::spawn(quarantine::evaluate_crashes(Rc::clone(node)));
     monoio::spawn(housekeeping(Rc::clone(node)));
     Ok(servers)
 }
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -439,6 +439,7 @@
                 }
             }
             Ok(Record::Move(record)) => self.merge_move(record, "store"),
+            Ok(Record::Quarantined(record)) => self.merge_stored_quarantine(record),
             Err(e) => {
                 self.log_state(
                     "record-unreadable",
--- a/crates/sidecar/tests/end_to_end/crashes.rs
+++ b/crates/sidecar/tests/end_to_end/crashes.rs
@@ -120,7 +120,12 @@
 
     fn spawn_conn(self: &Arc<Self>, stream: TcpStream) {
         stream.set_nonblocking(false).unwrap();
-        self.conns.lock().unwrap().push(stream.try_clone().unwrap());
+        let mut conns = self.conns.lock().unwrap();
+        if self.epoch.load(Ordering::SeqCst).is_multiple_of(2) {
+            return;
+        }
+        conns.push(stream.try_clone().unwrap());
+        drop(conns);
         let shared = Arc::clone(self);
         thread::spawn(move || shared.serve(stream));
     }
@@ -143,13 +148,14 @@
     }
 
     fn end(&self) {
+        let mut conns = self.conns.lock().unwrap();
         let epoch = self.epoch.load(Ordering::SeqCst);
         if epoch.is_multiple_of(2) {
             return;
         }
         self.epoch.store(epoch + 1, Ordering::SeqCst);
         self.log.ends.lock().unwrap().push(Instant::now());
-        for conn in self.conns.lock().unwrap().drain(..) {
+        for conn in conns.drain(..) {
             // A connection that its peer has closed is gone already.
             let _ = conn.shutdown(Shutdown::Both);
         }
@@ -357,6 +363,42 @@
     });
 }
 
+/// The daemons around it and the store tell it.
+#[test]
+fn a_daemon_that_starts_later_refuses_the_request_at_once() {
+    http_edge::block_on(async {
+        let (store, server, fleet) = start_fleet(21).await;
+        let end = Instant::now() + Duration::from_secs(10);
+        loop {
+            let res = fleet.machines[0].get(CRASHING, &fleet.id()).await;
+            if res.status == StatusCode::SERVICE_UNAVAILABLE && fleet.log.end_count() >= 3 {
+                break;
+            }
+            assert!(Instant::now() < end, "not blocked");
+            monoio::time::sleep(Duration::from_millis(150)).await;
+            fleet.announce_all().await;
+        }
+        wait_until("the record is stored", || {
+            let keys = store.with_topic("keyed.mesh", |topic| topic.newest());
+            keys.iter().any(|(key, ..)| key.starts_with("quarantine/"))
+        })
+        .await;
+        monoio::time::sleep(RESTART_TIME * 2).await;
+        fleet.announce_all().await;
+        let ends = fleet.log.end_count();
+        let late = CrashingMachine::start(21, 9, "catalogue", &fleet.log);
+        wait_until("the late daemon is ready", || late.daemon.is_ready()).await;
+        let res = late.get(CRASHING, &fleet.id()).await;
+        assert_eq!(res.status, StatusCode::SERVICE_UNAVAILABLE);
+        let id = fleet.id();
+        let res = late.get(&format!("/look/{id}"), &id).await;
+        assert_eq!(res.status, StatusCode::OK);
+        assert_eq!(fleet.log.end_count(), ends);
+        late.close().await;
+        close(fleet, server).await;
+    });
+}
+
 async fn close(fleet: Rc<CrashingFleet>, server: http_edge::Server) {
     let fleet = Rc::try_unwrap(fleet).unwrap_or_else(|_| panic!("all clients have ended"));
     for machine in fleet.machines {
