--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -45,8 +45,8 @@
 /// Time for which a daemon passes a report on, and takes it for known.
 const REPORT_TTL: Duration = Duration::from_secs(5);
 
-/// Most requests in one report; an instance runs fewer at once.
-pub const MAX_REPORTED: usize = 24;
+/// Most requests in one report; they fit a datagram, and an instance runs fewer at once.
+pub const MAX_REPORTED: usize = 64;
 
 /// Most recent reports that are kept.
 const MAX_REPORTS: usize = 64;
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -168,18 +168,20 @@
         self.admission.borrow().limit_report(now)
     }
 
-    /// Whether the instance accepts a new connection and keeps it, which then serves a request. One
-    /// that is about to end may still accept.
+    /// Whether the instance accepts a new connection, which then serves a request. One that is about
+    /// to end may accept and close it, as one with too many connections does, so it is asked twice.
     pub(crate) async fn accepts_connection(&self) -> bool {
-        let Ok(mut conn) = self.conns.connect_new(self.instance.get()).await else {
-            return false;
-        };
-        monoio::time::sleep(END_SETTLE_TIME).await;
-        let is_open = conn.is_idle();
-        if is_open {
-            self.conns.put(conn);
+        for _ in 0..2 {
+            let Ok(mut conn) = self.conns.connect_new(self.instance.get()).await else {
+                return false;
+            };
+            monoio::time::sleep(END_SETTLE_TIME).await;
+            if conn.is_idle() {
+                self.conns.put(conn);
+                return true;
+            }
         }
-        is_open
+        true
     }
 
     /// Builds a refusal with the time after which a slot is expected.
--- a/crates/sidecar/src/quarantine.rs
+++ b/crates/sidecar/src/quarantine.rs
@@ -15,6 +15,7 @@
 use mesh::instance::Change;
 use mesh::quarantine::CrashReport;
 use mesh::quarantine::MAX_RECORDS;
+use mesh::quarantine::MAX_REPORTED;
 use mesh::quarantine::Record;
 use mesh::quarantine::Standing;
 use mesh::quarantine::trial_daemon;
@@ -225,7 +226,9 @@
         let probe = Probe { detector };
         let has_ended = !self.dispatcher.accepts_connection().await;
         let requests = detector.lost.take();
-        detector.probes.set((before + 1, has_ended));
+        detector
+            .probes
+            .set((detector.probes.get().0 + 1, has_ended));
         drop(probe);
         if !has_ended {
             return Loss::Connection;
@@ -237,6 +240,7 @@
     async fn report_crash(&self, head: &ForwardHead, mut requests: Vec<RequestFingerprint>) {
         requests.sort_unstable();
         requests.dedup();
+        requests.truncate(MAX_REPORTED);
         self.log_state("instance-ended", || {
             let requests: Vec<String> = requests.iter().copied().map(fingerprint_text).collect();
             json!({ "instance": head.instance, "born": head.born, "requests": requests })
