Send more of a quiet route's requests to a target that lacks proof there

From 30% of the time on, the routes that have few requests and lack proof send 40% of theirs to the target; the record of the move names them, so all daemons follow.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -102,6 +102,17 @@
     Stage,
 }
 
+/// A route on which the target lacks proof.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnprovenRoute {
+    /// Name of the route.
+    pub name: RouteName,
+    /// What its answers show.
+    pub proof: RouteProof,
+    /// Whether it has few of the service's requests.
+    pub is_quiet: bool,
+}
+
 /// Instances whose answers a proof uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProofInstances {
@@ -267,7 +278,7 @@
         span: ProofSpan,
         busy: BadRate,
         quiet: BadRate,
-    ) -> Vec<(RouteName, RouteProof)> {
+    ) -> Vec<UnprovenRoute> {
         let new = self.counts_by_instance(service, target, span);
         let old = self.counts(service, |version| version != target);
         let all = self.counts(service, |_| true);
@@ -275,7 +286,7 @@
             .values()
             .map(|count| count.answers + count.missing)
             .sum();
-        let mut unproven: Vec<(RouteName, RouteProof)> = all
+        let mut unproven: Vec<UnprovenRoute> = all
             .into_keys()
             .map(|route| {
                 let counts = new.get(&route).cloned().unwrap_or_default();
@@ -285,12 +296,15 @@
                     compares_latency: true,
                     service_requests,
                 };
-                let proof = sample.proof(busy, quiet);
-                (route, proof)
+                UnprovenRoute {
+                    proof: sample.proof(busy, quiet),
+                    is_quiet: sample.is_quiet(),
+                    name: route,
+                }
             })
-            .filter(|(_, proof)| *proof != RouteProof::Proven)
+            .filter(|route| route.proof != RouteProof::Proven)
             .collect();
-        unproven.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        unproven.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         unproven
     }
 
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -9,6 +9,7 @@
 use crate::canary::CanaryAnalysis;
 use crate::canary::ProofInstances;
 use crate::canary::ProofSpan;
+use crate::canary::UnprovenRoute;
 use crate::canary::Verdict;
 use crate::config::RouteName;
 use crate::moves::MAX_UNPROVEN_SHARE;
@@ -33,12 +34,6 @@
     margin: 0.2,
 };
 
-/// Rate of faulty answers that the first share must rule out on a quiet route.
-const QUIET_FIRST_BAD_RATE: BadRate = BadRate {
-    rate: 0.7,
-    margin: 0.2,
-};
-
 /// Rate of faulty answers that the full share must rule out over all routes: a version that fails under
 /// load does so on each of them, and often less.
 const FULL_BAD_RATE: BadRate = BadRate {
@@ -56,6 +51,9 @@
 /// The same for a move that cannot complete in time any more, so that nothing is lost by watching it.
 const LATE_FULL_SHARE_TIME: Duration = Duration::from_secs(5);
 
+/// Most routes with a larger share of their own; a record with them fits a datagram.
+const MAX_BOOSTED_ROUTES: usize = 6;
+
 /// Decision on an open move.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Decision {
@@ -99,8 +97,7 @@
         if verdict == Verdict::Good {
             let (span, busy, quiet) = required_proof(record.stage);
             unproven = canary.unproven_routes(service, target, span, busy, quiet);
-            let is_suspicious =
-                |(_, proof): &(RouteName, RouteProof)| *proof == RouteProof::Suspicious;
+            let is_suspicious = |route: &UnprovenRoute| route.proof == RouteProof::Suspicious;
             verdict = if unproven.iter().any(is_suspicious) {
                 Verdict::Suspicious
             } else if !unproven.is_empty() {
@@ -117,11 +114,15 @@
             };
         }
         let last_verdict = self.last_verdicts.insert(service.clone(), verdict);
+        let mut next = advance(record, elapsed, verdict);
+        if next.precedence() != record.precedence() {
+            next.boosted = boosted_routes(&next, &unproven);
+        }
         Decision {
-            record: advance(record, elapsed, verdict),
+            record: next,
             verdict,
             is_verdict_new: last_verdict != Some(verdict),
-            unproven: unproven.into_iter().map(|(route, _)| route).collect(),
+            unproven: unproven.into_iter().map(|route| route.name).collect(),
             reporting: canary.reporting(service, target, now),
         }
     }
@@ -146,6 +147,19 @@
     }
 }
 
+/// Returns the quiet routes that lack proof at one of the small shares.
+fn boosted_routes(record: &MoveRecord, unproven: &[UnprovenRoute]) -> Vec<RouteName> {
+    match record.stage {
+        Stage::Sharing(..=MAX_UNPROVEN_SHARE) => unproven
+            .iter()
+            .filter(|route| route.is_quiet && route.proof == RouteProof::Open)
+            .map(|route| route.name.clone())
+            .take(MAX_BOOSTED_ROUTES)
+            .collect(),
+        _ => Vec::new(),
+    }
+}
+
 /// Returns which answers must rule out which rate of faulty ones, on busy and on quiet routes, before the
 /// stage after this one.
 fn required_proof(stage: Stage) -> (ProofSpan, BadRate, BadRate) {
@@ -153,9 +167,9 @@
     match stage {
         Stage::Sharing(base::FULL_SHARE..) => (stage_, RAISED_BAD_RATE, FIRST_BAD_RATE),
         Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE => {
-            (move_, RAISED_BAD_RATE, QUIET_FIRST_BAD_RATE)
+            (move_, RAISED_BAD_RATE, FIRST_BAD_RATE)
         }
-        _ => (move_, FIRST_BAD_RATE, QUIET_FIRST_BAD_RATE),
+        _ => (move_, FIRST_BAD_RATE, FIRST_BAD_RATE),
     }
 }
 
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::canary::Verdict;
+use crate::config::RouteName;
 
 /// An operator's order to move a service's traffic to a version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +46,9 @@
     pub setbacks: u32,
     /// Whether the store holds this final stage, which then excludes any other one.
     pub is_settled: bool,
+    /// Routes that send [`BOOSTED_SHARE`] of their requests to the target: they have few, and lack proof.
+    /// They change with the stage only.
+    pub boosted: Vec<RouteName>,
 }
 
 impl MoveRecord {
@@ -62,6 +66,17 @@
         )
     }
 
+    /// Returns the share of a route's requests for the target, in thousandths, at the share `share` of the
+    /// move.
+    #[must_use]
+    pub fn share_of(&self, route: &RouteName, share: Share) -> Share {
+        if share > 0 && self.boosted.contains(route) {
+            share.max(BOOSTED_SHARE)
+        } else {
+            share
+        }
+    }
+
     /// Whether the move is still in progress.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -116,6 +131,10 @@
 /// tenth of all requests during the move.
 const STEPS: [(u64, Share); 3] = [(0, FIRST_SHARE), (700, 500), (720, 1000)];
 
+/// Share of the routes that have few requests and lack proof, in thousandths. Each has less than a tenth of
+/// the service's requests.
+pub const BOOSTED_SHARE: Share = 400;
+
 /// Steps of a move while routes with few requests lack proof: until the end of its time, the target gets
 /// less than the tenth of all requests that the platform allows.
 const UNPROVEN_STEPS: [(u64, Share); 4] = [
@@ -260,16 +279,22 @@
         self.records.values()
     }
 
-    /// Returns which versions a request to a service may use; `random` is uniformly distributed.
+    /// Returns which versions a request to a service on a route may use; `random` is uniformly
+    /// distributed.
     #[must_use]
-    pub fn version_filter(&self, service: &str, random: u64) -> VersionFilter<'_> {
+    pub fn version_filter(
+        &self,
+        service: &str,
+        route: &RouteName,
+        random: u64,
+    ) -> VersionFilter<'_> {
         let Some(record) = self.records.get(service) else {
             return VersionFilter::Oldest;
         };
         let target = &record.order.target;
         match record.stage {
             Stage::Complete => VersionFilter::Only(target),
-            Stage::Sharing(share) if random % 1000 < u64::from(share) => {
+            Stage::Sharing(share) if random % 1000 < u64::from(record.share_of(route, share)) => {
                 VersionFilter::Prefer(target)
             }
             Stage::Sharing(base::FULL_SHARE..) => VersionFilter::Prefer(target),
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -257,6 +257,7 @@
         };
         self.choose_instance(
             &state.service,
+            &state.route.name,
             is_allowed,
             state.tried.is_empty(),
             body_bytes,
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -74,6 +74,7 @@
             stage: Stage::Sharing(0),
             setbacks: 0,
             is_settled: false,
+            boosted: Vec::new(),
         };
         self.merge_move(record, "operator");
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -25,6 +25,7 @@
 use mesh::balancer::BalancerCfg;
 use mesh::balancer::RandomPair;
 use mesh::canary::CanaryAnalysis;
+use mesh::config::RouteName;
 use mesh::config::UnknownKind;
 use mesh::directory::Entry;
 use mesh::directory::Merge;
@@ -395,10 +396,11 @@
     }
 
     /// Chooses an instance of a service among the allowed daemons whose version takes the request, for
-    /// a request with a body of this size.
+    /// a request on this route with a body of this size.
     pub fn choose_instance(
         &self,
         service: &ServiceName,
+        route: &RouteName,
         is_allowed: impl Fn(&DaemonId) -> bool,
         is_first_attempt: bool,
         body_bytes: usize,
@@ -409,7 +411,7 @@
         let moves = self.moves.borrow();
         let serving: Vec<&Entry> = directory.serving(service).collect();
         let candidates: Vec<&Entry> =
-            filter_versions(&serving, moves.version_filter(service, random))
+            filter_versions(&serving, moves.version_filter(service, route, random))
                 .into_iter()
                 .filter(|entry| is_allowed(&entry.member.daemon))
                 .collect();
