Do not compare latencies of a few milliseconds

Cause: a route that instances answer within a millisecond got its twentieth answer of the target, from which on latencies are compared, and the mean of 1 ms is more than three times that of the old version. Traced from move-decided: 20 answers without a failure, all below 64 ms, and no other route with a fault. Quiet routes reach twenty answers sooner since they are boosted, but the comparison had the fault before.

Latencies below 10 ms are compared as 10 ms, in the verdict and in the proof. Test: latencies_of_few_milliseconds_are_not_compared, failed before (0 ms, then 1 ms: bad).

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -65,6 +65,9 @@
 /// instances are busier than the old ones were, so twice the latency is no sign of a bad version.
 const MAX_LATENCY_RATIO: f64 = 3.0;
 
+/// Latencies below this, in milliseconds, are compared as this value: queues and scheduling add as much.
+pub(crate) const MIN_COMPARED_MS: f64 = 10.0;
+
 /// Ratio to the old version's mean latency above which an answer is slow; fewer than 1% of the
 /// answers of a good version are.
 const SLOW_ANSWER_RATIO: f64 = 4.0;
@@ -599,10 +602,10 @@
     if new.answers < MIN_LATENCY_ANSWERS {
         return Verdict::Good;
     }
-    let slow_ms = SLOW_ANSWER_RATIO * old.mean_ms();
+    let old_ms = old.mean_ms().max(MIN_COMPARED_MS);
+    let slow_ms = SLOW_ANSWER_RATIO * old_ms;
     let allowed = ACCEPTED_SLOW_SHARE + MAX_SLOW_SHARE_RATIO * old.share_slower_than(slow_ms);
-    if new.mean_ms() > MAX_LATENCY_RATIO * old.mean_ms() || new.share_slower_than(slow_ms) > allowed
-    {
+    if new.mean_ms() > MAX_LATENCY_RATIO * old_ms || new.share_slower_than(slow_ms) > allowed {
         return Verdict::Bad;
     }
     Verdict::Good
--- a/crates/mesh/src/route_proof.rs
+++ b/crates/mesh/src/route_proof.rs
@@ -5,6 +5,7 @@
 
 use rollout::sequential::Batch;
 
+use crate::canary::MIN_COMPARED_MS;
 use crate::evidence::RouteStats;
 
 /// Faulty rate of the answers that is expected of a good version at least: the users' instances
@@ -120,7 +121,7 @@
             .old
             .filter(|old| self.compares_latency && old.answers >= MIN_LATENCY_ANSWERS);
         let slow = baseline.map_or(0, |old| {
-            stats.count_slower_than(SLOW_ANSWER_RATIO * old.mean_ms())
+            stats.count_slower_than(SLOW_ANSWER_RATIO * old.mean_ms().max(MIN_COMPARED_MS))
         });
         (stats.failures + stats.missing + slow).min(requests(stats))
     }
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -166,6 +166,25 @@
     );
 }
 
+/// A few milliseconds more on a route that is answered at once are no fault.
+#[test]
+fn latencies_of_few_milliseconds_are_not_compared() {
+    let check = |old_ms: u64, new_ms: u64, expected: Verdict| {
+        let mut canary = CanaryAnalysis::default();
+        let now = Instant::now();
+        let old = evidence("v1", &[("probe", 87, 0, old_ms), ("browse", 900, 0, 220)]);
+        let new = evidence("v2", &[("probe", 40, 0, new_ms), ("browse", 60, 0, 220)]);
+        canary.merge(&"a".into(), 1, old, now);
+        canary.merge(&"b".into(), 1, new, now);
+        let verdict = canary.verdict(&"catalogue".into(), &"v2".into(), 1, now);
+        assert_eq!(verdict, expected, "{old_ms} ms, then {new_ms} ms");
+    };
+    check(0, 1, Verdict::Good);
+    check(1, 12, Verdict::Good);
+    check(1, 80, Verdict::Bad);
+    check(90, 300, Verdict::Bad);
+}
+
 #[test]
 fn duplicate_evidence_counts_once() {
     let mut canary = CanaryAnalysis::default();
