--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -5,6 +5,9 @@
 //! `old` for the other versions. While the other versions fail as well, the analysis is
 //! inconclusive.
 
+mod report;
+mod samples;
+
 use std::collections::hash_map::Entry;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,6 +19,14 @@
 use base::UnixMillis;
 use base::VersionName;
 
+pub use crate::canary::report::ProofSpan;
+
+use crate::canary::report::InstanceReport;
+use crate::canary::samples::RecentAnswers;
+use crate::canary::samples::RecentPair;
+use crate::canary::samples::Sample;
+use crate::canary::samples::sum_all;
+use crate::canary::samples::sum_better_half;
 use crate::config::RouteName;
 use crate::evidence::Evidence;
 use crate::evidence::RouteStats;
@@ -96,15 +107,6 @@
     Inconclusive,
 }
 
-/// Answers that a proof may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProofSpan {
-    /// All answers since the last reset of the counts.
-    Move,
-    /// The answers since the move entered its present stage.
-    Stage,
-}
-
 /// A route on which the target lacks proof.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnprovenRoute {
@@ -133,84 +135,6 @@
     instances: FastMap<InstanceKey, InstanceReport>,
 }
 
-/// Evidence reported for one instance.
-#[derive(Debug)]
-struct InstanceReport {
-    /// Process of the daemon that sent the latest report.
-    incarnation: Incarnation,
-    /// Sum of the last reports of the earlier processes; each process counts from zero.
-    earlier: Evidence,
-    /// All answers of the instance, `earlier` included.
-    latest: Evidence,
-    /// Arrival time of the last report.
-    last_report: Instant,
-    /// Evidence at the last reset of the counts; it is subtracted from `latest`.
-    baseline: Option<Evidence>,
-    /// Evidence when the move entered its stage, or in the first report after that.
-    stage_baseline: Evidence,
-    /// Decaying counts of its answers by route, starting after the first report.
-    recent: FastMap<RouteName, Health>,
-}
-
-impl InstanceReport {
-    fn new(incarnation: Incarnation, evidence: Evidence, now: Instant) -> Self {
-        Self {
-            incarnation,
-            earlier: Evidence {
-                routes: Vec::new(),
-                ..evidence.clone()
-            },
-            stage_baseline: evidence.clone(),
-            latest: evidence,
-            last_report: now,
-            baseline: None,
-            recent: FastMap::default(),
-        }
-    }
-
-    fn update(&mut self, incarnation: Incarnation, evidence: &Evidence, now: Instant) {
-        if incarnation < self.incarnation {
-            return;
-        }
-        self.last_report = now;
-        if incarnation > self.incarnation {
-            self.incarnation = incarnation;
-            self.earlier = self.latest.clone();
-        }
-        let evidence = self.earlier.plus(evidence);
-        if self.latest.request_count() >= evidence.request_count() {
-            return;
-        }
-        for (route, count) in &evidence.routes {
-            let added = count.delta_since(self.latest.route_stats(route));
-            let good = added.answers.saturating_sub(added.failures);
-            let recent = self.recent.entry(route.clone()).or_default();
-            recent.record_all(good, added.failures, now);
-        }
-        self.latest = evidence;
-    }
-
-    /// Statistics by route since the last reset of the counts.
-    fn since_baseline(&self) -> impl Iterator<Item = (&RouteName, RouteStats)> {
-        self.since(self.baseline.as_ref())
-    }
-
-    fn since(&self, earlier: Option<&Evidence>) -> impl Iterator<Item = (&RouteName, RouteStats)> {
-        self.latest.routes.iter().map(move |(route, count)| {
-            let earlier = earlier.and_then(|evidence| evidence.route_stats(route));
-            (route, count.delta_since(earlier))
-        })
-    }
-
-    /// Statistics by route for a proof.
-    fn in_span(&self, span: ProofSpan) -> impl Iterator<Item = (&RouteName, RouteStats)> {
-        self.since(match span {
-            ProofSpan::Move => self.baseline.as_ref(),
-            ProofSpan::Stage => Some(&self.stage_baseline),
-        })
-    }
-}
-
 impl CanaryAnalysis {
     /// Merges the evidence that a process of a daemon reported for its instance.
     pub fn merge(
@@ -475,99 +399,6 @@
     }
 }
 
-/// Answers of one instance, or the sum over several.
-trait Sample: Default {
-    /// Returns the number of answers.
-    fn answers(&self) -> f64;
-
-    /// Returns the sort key of instances; lower is better.
-    fn badness(&self) -> f64;
-
-    /// Adds the answers of another sample.
-    fn add(&mut self, other: &Self);
-}
-
-/// Sums the better half of a version's instances, since a few failing or slow instances indicate a
-/// fault of their machines and not of the version. Sums all where the better half has too few
-/// answers.
-fn sum_better_half<S: Sample>(mut samples: Vec<S>) -> S {
-    samples.sort_by(|a, b| a.badness().total_cmp(&b.badness()));
-    let half = sum_all(samples[..samples.len().div_ceil(2)].iter());
-    if half.answers() >= f64::from(MIN_ANSWERS) {
-        half
-    } else {
-        sum_all(samples.iter())
-    }
-}
-
-fn sum_all<'a, S: Sample + 'a>(samples: impl Iterator<Item = &'a S>) -> S {
-    samples.fold(S::default(), |mut sum, sample| {
-        sum.add(sample);
-        sum
-    })
-}
-
-/// Mean latency, in milliseconds, that counts as much as a failure rate of 1; clients do not wait
-/// this long.
-const LATENCY_SCALE_MS: f64 = 10_000.0;
-
-impl Sample for RouteStats {
-    fn answers(&self) -> f64 {
-        f64::from(self.answers)
-    }
-
-    /// Orders by the share of failed requests, then by mean latency.
-    fn badness(&self) -> f64 {
-        let failed = f64::from(self.failures + self.missing);
-        let failure_rate = failed / f64::from((self.answers + self.missing).max(1));
-        failure_rate + self.mean_ms() / LATENCY_SCALE_MS
-    }
-
-    fn add(&mut self, other: &Self) {
-        Self::add(self, other);
-    }
-}
-
-/// Decayed counts of the recent answers on one route.
-#[derive(Debug, Clone, Copy, Default)]
-struct RecentAnswers {
-    good: f64,
-    failed: f64,
-}
-
-/// Recent answers of the target and of the other versions.
-#[derive(Debug, Clone, Copy, Default)]
-struct RecentPair {
-    new: RecentAnswers,
-    old: RecentAnswers,
-}
-
-impl RecentAnswers {
-    fn of(health: &Health, at: Instant) -> Self {
-        let (good, failed) = health.decayed_counts(at);
-        Self { good, failed }
-    }
-
-    fn failure_rate(self) -> f64 {
-        self.failed / self.answers().max(1.0)
-    }
-}
-
-impl Sample for RecentAnswers {
-    fn answers(&self) -> f64 {
-        self.good + self.failed
-    }
-
-    fn badness(&self) -> f64 {
-        self.failure_rate()
-    }
-
-    fn add(&mut self, other: &Self) {
-        self.good += other.good;
-        self.failed += other.failed;
-    }
-}
-
 /// Judges the target by the answers on one route.
 fn judge_route(new: &RouteStats, old: Option<&RouteStats>, recent: RecentPair) -> Verdict {
     let missing = f64::from(new.missing) / f64::from((new.answers + new.missing).max(1));
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod balancer;
+mod canary;
 mod directory;
 mod election;
 mod instance;
--- a/crates/mesh/src/tests/move_steps.rs
+++ b/crates/mesh/src/tests/move_steps.rs
@@ -9,7 +9,7 @@
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
 use crate::moves::Stage;
-use crate::tests::moves::evidence;
+use crate::tests::canary::evidence;
 use crate::tests::moves::order;
 use crate::tests::moves::record;
 
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -19,9 +19,6 @@
 use mesh::AdmissionController;
 use mesh::admission::AdmissionCfg;
 use mesh::admission::QueueAction;
-use mesh::config::RouteName;
-use mesh::evidence::Evidence;
-use mesh::evidence::RouteStats;
 use mesh::health::Health;
 use mesh::instance::Change;
 use mesh::latency::RelativeLatency;
@@ -38,6 +35,8 @@
 use users_platform::responses;
 use users_platform::responses::InstanceResponse;
 
+use crate::evidence::EvidenceSample;
+use crate::evidence::RouteCounts;
 use crate::logs::EventClass;
 use crate::logs::fingerprint_text;
 use crate::node::Node;
@@ -105,20 +104,6 @@
     pub(crate) last_limit_notice: Cell<LimitNotice>,
 }
 
-/// What a request contributes to the canary evidence on the instance's version.
-#[derive(Debug, Clone, Copy)]
-enum EvidenceSample {
-    Answer { took: Duration, is_failure: bool },
-    Missing,
-}
-
-/// Evidence by route on the instance that was created at `born`.
-#[derive(Default)]
-pub(crate) struct RouteCounts {
-    pub(crate) born: UnixMillis,
-    routes: FastMap<RouteName, RouteStats>,
-}
-
 impl InstanceDispatcher {
     /// Creates a dispatcher for the instance at this address.
     pub fn new(instance: SocketAddr) -> Self {
@@ -257,26 +242,6 @@
         tx.is_some_and(|tx| tx.send(wait_outcome).is_ok())
     }
 
-    /// Returns the evidence on the current instance; `None` if there is none. Requests during the
-    /// instance's cold phase do not count.
-    pub fn evidence(&self, node: &Node) -> Option<Evidence> {
-        let local = node.local.borrow();
-        let heartbeat = local.last_heartbeat()?;
-        let counts = self.counts.borrow();
-        if counts.born != heartbeat.born || counts.routes.is_empty() {
-            return None;
-        }
-        Some(Evidence::of_busiest(
-            heartbeat.service.clone(),
-            heartbeat.version.clone(),
-            counts.born,
-            counts
-                .routes
-                .iter()
-                .map(|(route, count)| (route.clone(), count.clone())),
-        ))
-    }
-
     fn record_health(&self, is_failure: bool) {
         let now = Instant::now();
         self.health.borrow_mut().record(is_failure, now);
@@ -292,22 +257,6 @@
             self.latency.borrow_mut().record(took, mean);
         }
     }
-
-    fn record_evidence(&self, node: &Node, head: &ForwardHead, sample: EvidenceSample) {
-        let local = node.local.borrow();
-        let is_cold = local
-            .last_heartbeat()
-            .is_some_and(|heartbeat| !heartbeat.cold_left.is_zero());
-        let mut counts = self.counts.borrow_mut();
-        if is_cold || counts.born != head.born {
-            return;
-        }
-        let count = counts.routes.entry(head.route.clone()).or_default();
-        match sample {
-            EvidenceSample::Answer { took, is_failure } => count.record_answer(took, is_failure),
-            EvidenceSample::Missing => count.missing += 1,
-        }
-    }
 }
 
 /// Result of a dispatch to the local instance.
--- /dev/null
+++ b/crates/sidecar/src/evidence.rs
@@ -0,0 +1,65 @@
+//! Evidence on the version of the local instance, counted from its answers.
+
+use std::time::Duration;
+
+use base::FastMap;
+use base::UnixMillis;
+use mesh::config::RouteName;
+use mesh::evidence::Evidence;
+use mesh::evidence::RouteStats;
+use mesh::wire::ForwardHead;
+
+use crate::dispatch::InstanceDispatcher;
+use crate::node::Node;
+
+/// What a request contributes to the canary evidence on the instance's version.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum EvidenceSample {
+    Answer { took: Duration, is_failure: bool },
+    Missing,
+}
+
+/// Evidence by route on the instance that was created at `born`.
+#[derive(Default)]
+pub(crate) struct RouteCounts {
+    pub(crate) born: UnixMillis,
+    pub(crate) routes: FastMap<RouteName, RouteStats>,
+}
+
+impl InstanceDispatcher {
+    /// Returns the evidence on the current instance; `None` if there is none. Requests during the
+    /// instance's cold phase do not count.
+    pub fn evidence(&self, node: &Node) -> Option<Evidence> {
+        let local = node.local.borrow();
+        let heartbeat = local.last_heartbeat()?;
+        let counts = self.counts.borrow();
+        if counts.born != heartbeat.born || counts.routes.is_empty() {
+            return None;
+        }
+        Some(Evidence::of_busiest(
+            heartbeat.service.clone(),
+            heartbeat.version.clone(),
+            counts.born,
+            counts
+                .routes
+                .iter()
+                .map(|(route, count)| (route.clone(), count.clone())),
+        ))
+    }
+
+    pub(crate) fn record_evidence(&self, node: &Node, head: &ForwardHead, sample: EvidenceSample) {
+        let local = node.local.borrow();
+        let is_cold = local
+            .last_heartbeat()
+            .is_some_and(|heartbeat| !heartbeat.cold_left.is_zero());
+        let mut counts = self.counts.borrow_mut();
+        if is_cold || counts.born != head.born {
+            return;
+        }
+        let count = counts.routes.entry(head.route.clone()).or_default();
+        match sample {
+            EvidenceSample::Answer { took, is_failure } => count.record_answer(took, is_failure),
+            EvidenceSample::Missing => count.missing += 1,
+        }
+    }
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 mod compression;
 mod control;
 mod dispatch;
+mod evidence;
 mod forward;
 mod gossip;
 mod ingress;
