--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -28,6 +28,8 @@
     metrics.record_rollout_end(&service, &RolloutOutcome::Done);
     metrics.set_load(3, 1);
     metrics.record_instance_request();
+    metrics.record_instance_end();
+    metrics.record_quarantined();
     metrics.set_instance_limit(Some(14.2));
     metrics.set_state(StateGauges {
         ticket: 7,
