--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -70,7 +70,7 @@
 
 /// Minimum answers on one route for comparing latencies; the error of the mean is then below a
 /// quarter.
-const MIN_LATENCY_ANSWERS: u32 = 20;
+pub(crate) const MIN_LATENCY_ANSWERS: u32 = 20;
 
 /// Ratio to the old version's mean latency above which the target is bad. At full share its
 /// instances are busier than the old ones were, so twice the latency is no sign of a bad version.
@@ -81,7 +81,7 @@
 
 /// Ratio to the old version's mean latency above which an answer is slow; fewer than 1% of the
 /// answers of a good version are.
-const SLOW_ANSWER_RATIO: f64 = 4.0;
+pub(crate) const SLOW_ANSWER_RATIO: f64 = 4.0;
 
 /// Share of slow answers that is always accepted: about two of [`MIN_LATENCY_ANSWERS`].
 const ACCEPTED_SLOW_SHARE: f64 = 0.08;
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -42,7 +42,7 @@
     pub began: UnixMillis,
     /// Stage that the move has reached.
     pub stage: Stage,
-    /// How often the share was reduced to the first one after an inconclusive verdict.
+    /// How often the share was reduced to the first one after an inconclusive or a suspicious verdict.
     pub setbacks: u32,
     /// Whether the store holds this final stage, which then excludes any other one.
     pub is_settled: bool,
@@ -152,8 +152,8 @@
 const COMPLETE_AT_PERMILLE: u64 = 860;
 
 /// Returns the record of a move at the time `elapsed` after its order. [`Stage::Complete`] and
-/// [`Stage::RolledBack`] are final. The share shrinks only on an inconclusive verdict, to the first
-/// one.
+/// [`Stage::RolledBack`] are final. The share shrinks only on an inconclusive or a suspicious
+/// verdict, to the first one.
 #[must_use]
 pub fn advance(record: &MoveRecord, elapsed: Duration, verdict: Verdict) -> MoveRecord {
     let Stage::Sharing(current) = record.stage else {
--- a/crates/mesh/src/route_proof.rs
+++ b/crates/mesh/src/route_proof.rs
@@ -6,18 +6,14 @@
 use rollout::sequential::Batch;
 
 use crate::canary::MIN_COMPARED_MS;
+use crate::canary::MIN_LATENCY_ANSWERS;
+use crate::canary::SLOW_ANSWER_RATIO;
 use crate::evidence::RouteStats;
 
 /// Faulty rate of the answers that is expected of a good version at least: the users' instances
 /// fail up to 1% of their requests, and lose some answers in faults.
 const EXPECTED_FAULTY_RATE: f64 = 0.03;
 
-/// Minimum answers of the old version on one route for telling slow answers.
-const MIN_LATENCY_ANSWERS: u32 = 20;
-
-/// Ratio to the old version's mean latency above which an answer counts as faulty.
-const SLOW_ANSWER_RATIO: f64 = 4.0;
-
 /// Requests of all versions on a route from which on it may need a proof.
 const MIN_ROUTE_REQUESTS: u32 = 4;
 
@@ -51,7 +47,7 @@
     Proven,
     /// Too few answers.
     Open,
-    /// Some faults, which speak for a bad version, and too few for a verdict.
+    /// Some faults, which point to a bad version, and too few for a verdict.
     Suspicious,
 }
 
