--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -163,13 +163,12 @@
 /// Returns which answers must rule out which rate of faulty ones, on busy and on quiet routes, before the
 /// stage after this one.
 fn required_proof(stage: Stage) -> (ProofSpan, BadRate, BadRate) {
-    let (move_, stage_) = (ProofSpan::Move, ProofSpan::Stage);
     match stage {
-        Stage::Sharing(base::FULL_SHARE..) => (stage_, RAISED_BAD_RATE, FIRST_BAD_RATE),
+        Stage::Sharing(base::FULL_SHARE..) => (ProofSpan::Stage, RAISED_BAD_RATE, FIRST_BAD_RATE),
         Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE => {
-            (move_, RAISED_BAD_RATE, FIRST_BAD_RATE)
+            (ProofSpan::Move, RAISED_BAD_RATE, FIRST_BAD_RATE)
         }
-        _ => (move_, FIRST_BAD_RATE, FIRST_BAD_RATE),
+        _ => (ProofSpan::Move, FIRST_BAD_RATE, FIRST_BAD_RATE),
     }
 }
 
