Pass the right to run in isolation on when its request leaves as it is granted

Cause: the grant was an empty message, and the guard that passes the right on came into being only when it was received.

The message is the guard now, so it passes the right on wherever it is dropped, and the loop over the waiting ones goes away. Test: the_right_is_not_lost_with_a_request_that_leaves_as_it_is_granted, failed before (the right is lost), passes. One import of the canary analysis stands with the others.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -19,9 +19,8 @@
 use base::UnixMillis;
 use base::VersionName;
 
-pub use crate::canary::report::ProofSpan;
-
 use crate::canary::report::InstanceReport;
+pub use crate::canary::report::ProofSpan;
 use crate::canary::samples::RecentAnswers;
 use crate::canary::samples::RecentPair;
 use crate::canary::samples::Sample;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -110,7 +110,7 @@
     pub dispatcher: InstanceDispatcher,
     pub quarantine: RefCell<Quarantine>,
     pub crash_detector: CrashDetector,
-    pub isolation: IsolationGate,
+    pub isolation: Rc<IsolationGate>,
     /// Requests that were released from the quarantine, yet to be stored.
     pub released: RefCell<Vec<quarantine::Record>>,
     pub transfers: TransferGate,
@@ -180,7 +180,7 @@
             dispatcher: InstanceDispatcher::new(boot.instance_address),
             quarantine: RefCell::default(),
             crash_detector: CrashDetector::default(),
-            isolation: IsolationGate::default(),
+            isolation: Rc::default(),
             released: RefCell::default(),
             transfers: TransferGate::new(boot.link_mbps),
             peer_conns: Pool::new(pool_cfg),
--- a/crates/sidecar/src/quarantine.rs
+++ b/crates/sidecar/src/quarantine.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -89,19 +90,20 @@
 #[derive(Default)]
 pub struct IsolationGate {
     is_taken: Cell<bool>,
-    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+    waiting: RefCell<VecDeque<oneshot::Sender<IsolationGuard>>>,
 }
 
 /// The right to run in isolation; passed on when dropped.
-pub struct IsolationGuard<'a> {
-    gate: &'a IsolationGate,
+pub struct IsolationGuard {
+    gate: Rc<IsolationGate>,
 }
 
 impl IsolationGate {
     /// Waits for the right to run in isolation until `deadline`; `None` if it does not come.
-    pub async fn enter(&self, deadline: Instant) -> Option<IsolationGuard<'_>> {
+    pub async fn enter(self: &Rc<Self>, deadline: Instant) -> Option<IsolationGuard> {
         if !self.is_taken.replace(true) {
-            return Some(IsolationGuard { gate: self });
+            let gate = Rc::clone(self);
+            return Some(IsolationGuard { gate });
         }
         if self.waiting.borrow().len() >= MAX_ISOLATED_WAITING {
             return None;
@@ -109,21 +111,20 @@
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().push_back(tx);
         let left = deadline.saturating_duration_since(Instant::now());
-        // The sender passes the right on if this receiver has gone.
-        let granted = monoio::time::timeout(left, rx).await;
-        matches!(granted, Ok(Ok(()))).then_some(IsolationGuard { gate: self })
+        // A guard that was sent and is not received passes the right on when it is dropped.
+        monoio::time::timeout(left, rx).await.ok()?.ok()
     }
 }
 
-impl Drop for IsolationGuard<'_> {
+impl Drop for IsolationGuard {
     fn drop(&mut self) {
-        let mut waiting = self.gate.waiting.borrow_mut();
-        while let Some(tx) = waiting.pop_front() {
-            if tx.send(()).is_ok() {
-                return;
-            }
-        }
-        self.gate.is_taken.set(false);
+        let next = self.gate.waiting.borrow_mut().pop_front();
+        let Some(tx) = next else {
+            return self.gate.is_taken.set(false);
+        };
+        let gate = Rc::clone(&self.gate);
+        // If the receiver has gone, the returned guard passes the right on.
+        let _ = tx.send(IsolationGuard { gate });
     }
 }
 
--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -2,3 +2,4 @@
 
 mod attempt;
 mod compression;
+mod isolation;
