Log the clock, the stage time and the setbacks of a move, and how long a lost read waited

An operator could not tell from move-decided whether a move that fell back was raised again at once, nor why elapsed_ms fell when the controller changed: the time comes from the process or from the wall clock, depending on who decides. A read that the store never answers logged its loss without the time that it had cost.

No decision changes.

--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -67,6 +67,8 @@
     pub unproven: Vec<RouteName>,
     /// Instances of the target that report evidence.
     pub reporting: usize,
+    /// Time since this daemon, as the controller, first saw the move at its stage.
+    pub at_stage: Duration,
 }
 
 /// Decides on the open moves.
@@ -92,6 +94,7 @@
             service, target, ..
         } = &record.order;
         let entered = self.enter_stage(record, canary, now);
+        let at_stage = now.saturating_duration_since(entered);
         let mut verdict = canary.verdict(service, target, instances, now);
         let mut unproven = Vec::new();
         if verdict == Verdict::Good {
@@ -102,12 +105,7 @@
                 Verdict::Suspicious
             } else if !unproven.is_empty() {
                 Verdict::Unproven
-            } else if is_too_early(
-                record,
-                canary,
-                elapsed,
-                now.saturating_duration_since(entered),
-            ) {
+            } else if is_too_early(record, canary, elapsed, at_stage) {
                 Verdict::InsufficientData
             } else {
                 Verdict::Good
@@ -124,6 +122,7 @@
             is_verdict_new: last_verdict != Some(verdict),
             unproven: unproven.into_iter().map(|route| route.name).collect(),
             reporting: canary.reporting(service, target, now),
+            at_stage,
         }
     }
 
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -37,6 +37,15 @@
 /// Prefix of the keys of move records, in the mesh topic and in the reports topic.
 const MOVE_KEY_PREFIX: &str = "move/";
 
+/// Clock by which the time since an order is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ElapsedClock {
+    /// The monotonic clock, from when this process first saw the order.
+    Process,
+    /// The wall clocks of the daemon that first saw the order and of this one.
+    Wall,
+}
+
 /// Decides on open moves while this daemon is the controller. Runs until the process ends.
 pub async fn decide_moves(node: SharedNode) {
     // Precedence of the record that this daemon published last, by service.
@@ -147,7 +156,7 @@
         let order = &record.order;
         let now = Instant::now();
         let instances = self.instances_of(&order.service, &order.target);
-        let elapsed = self.elapsed(record);
+        let (elapsed, clock) = self.elapsed(record);
         let mut canary = self.canary.borrow_mut();
         let mut decider = self.move_decider.borrow_mut();
         let decision = decider.decide(record, &mut canary, instances, elapsed, now);
@@ -173,6 +182,9 @@
                     "instances": instances,
                     "elapsed_ms": elapsed.as_millis(),
                     "within_ms": order.within.as_millis(),
+                    "clock": format!("{clock:?}"),
+                    "at_stage_ms": decision.at_stage.as_millis(),
+                    "setbacks": record.setbacks,
                 })
             });
         }
@@ -216,17 +228,17 @@
 
     /// Returns the time since the order: since this daemon first saw it or, if that is longer, by
     /// the wall clock. The wall clock is trusted up to twice the duration of the move only.
-    fn elapsed(&self, record: &MoveRecord) -> Duration {
+    fn elapsed(&self, record: &MoveRecord) -> (Duration, ElapsedClock) {
         let first_seen = self.order_first_seen.borrow();
         let since_seen = first_seen
             .get(&record.order.offset)
             .map_or(Duration::ZERO, Instant::elapsed);
         let now = unix_millis(SystemTime::now());
         let by_wall_clock = Duration::from_millis(now.saturating_sub(record.began));
-        if by_wall_clock > record.order.within * 2 {
-            return since_seen;
+        if by_wall_clock > record.order.within * 2 || by_wall_clock < since_seen {
+            return (since_seen, ElapsedClock::Process);
         }
-        since_seen.max(by_wall_clock)
+        (by_wall_clock, ElapsedClock::Wall)
     }
 
     /// Publishes a decision: a rollback at once, all others after the store accepted them. Returns
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -167,10 +167,13 @@
             }
             Err(e) => {
                 if is_store_available {
-                    node.log_state(
-                        "store-lost",
-                        || json!({ "topic": format!("{topic:?}"), "reason": e.to_string() }),
-                    );
+                    node.log_state("store-lost", || {
+                        json!({
+                            "topic": format!("{topic:?}"),
+                            "reason": e.to_string(),
+                            "waited_ms": called_at.elapsed().as_millis(),
+                        })
+                    });
                 }
                 is_store_available = false;
                 // A call that timed out has waited already.
