Judge a version bad on many answers, however often the others fail

Callers saw a version that fails a fifth of a route's requests for half a minute, as the others failed one in twenty-two there: a bad verdict asked for five times their rate, a proof of good was not to be had either, and the move stayed open.

Cause: a multiple of the old version's rate without regard to the number of answers. Class: a threshold in place of a test. Now the failures on a route, since the last reset or at the present stage, and those at the stage over all routes, are a sequential test against the rate of the others: the long and the recent one, the higher of the two, with the stated probability of a false rollback. The better half of the instances must not speak against it, so that a few with faults of their own still don't make a version bad.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -18,6 +18,7 @@
 use base::ServiceName;
 use base::UnixMillis;
 use base::VersionName;
+use rollout::sequential::Batch;
 
 use crate::canary::report::InstanceReport;
 pub use crate::canary::report::ProofSpan;
@@ -26,6 +27,7 @@
 use crate::canary::samples::Sample;
 use crate::canary::samples::sum_all;
 use crate::canary::samples::sum_better_half;
+use crate::canary::samples::sum_but_worst_quarter;
 use crate::config::RouteName;
 use crate::evidence::Evidence;
 use crate::evidence::RouteStats;
@@ -89,6 +91,12 @@
 /// the target is bad; leaves room for busier instances.
 const MAX_SLOW_SHARE_RATIO: f64 = 4.0;
 
+/// Failure rates of bad versions that many answers prove, at least.
+const ALARM_RATES: [f64; 3] = [0.1, 0.2, 0.5];
+
+/// Distance of these rates from the expected one, at least.
+const ALARM_MARGIN: f64 = 0.07;
+
 /// Verdict on the target of a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -120,8 +128,8 @@
 /// Instances whose answers a proof uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProofInstances {
-    /// The better half, so that a few with faults of their own do not hold a move up.
-    BetterHalf,
+    /// All but the worst quarter, so that a few with faults of their own do not hold a move up.
+    Most,
     /// All of them.
     All,
 }
@@ -169,6 +177,7 @@
         now: Instant,
     ) -> Verdict {
         let new = self.counts_by_instance(service, target, ProofSpan::Move);
+        let at_stage = self.counts_by_instance(service, target, ProofSpan::Stage);
         let old = self.counts(service, |version| version != target);
         let verdicts: Vec<Verdict> = new
             .iter()
@@ -178,9 +187,16 @@
                     new: sum_better_half(self.recent(service, route, |v| v == target)),
                     old: sum_all(self.recent(service, route, |v| v != target).iter()),
                 };
-                judge_route(&sum_better_half(counts.clone()), old.get(route), recent)
+                let at_stage = at_stage.get(route).map_or(&[][..], Vec::as_slice);
+                judge_route(counts, at_stage, old.get(route), recent)
             })
             .collect();
+        let is_comparable = !verdicts.contains(&Verdict::Inconclusive);
+        let all_routes = self.all_routes(service, target, ProofSpan::Stage);
+        let all_old = sum_all(old.values());
+        if is_comparable && is_alarm(&all_routes, total_failure_rate(&all_old)) {
+            return Verdict::Bad;
+        }
         for verdict in [Verdict::Bad, Verdict::Inconclusive] {
             if verdicts.contains(&verdict) {
                 return verdict;
@@ -217,7 +233,7 @@
             .map(|route| {
                 let counts = new.get(&route).cloned().unwrap_or_default();
                 let sample = RouteSample {
-                    new: &sum_better_half(counts),
+                    new: &sum_but_worst_quarter(counts),
                     old: old.get(&route),
                     compares_latency: true,
                     service_requests,
@@ -244,16 +260,9 @@
         instances: ProofInstances,
         bad: BadRate,
     ) -> bool {
-        let by_instance: Vec<RouteStats> = self
-            .reports(service, |version| version == target)
-            .map(|report| {
-                let counts = report.in_span(ProofSpan::Stage);
-                let counts: Vec<RouteStats> = counts.map(|(_, count)| count).collect();
-                sum_all(counts.iter())
-            })
-            .collect();
+        let by_instance = self.all_routes(service, target, ProofSpan::Stage);
         let new = match instances {
-            ProofInstances::BetterHalf => sum_better_half(by_instance),
+            ProofInstances::Most => sum_but_worst_quarter(by_instance),
             ProofInstances::All => sum_all(by_instance.iter()),
         };
         let old = self.counts(service, |version| version != target);
@@ -274,6 +283,21 @@
         }
     }
 
+    /// Returns the sum over all routes of each instance of a version.
+    fn all_routes(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        span: ProofSpan,
+    ) -> Vec<RouteStats> {
+        self.reports(service, |other| other == version)
+            .map(|report| {
+                let counts: Vec<RouteStats> = report.in_span(span).map(|(_, c)| c).collect();
+                sum_all(counts.iter())
+            })
+            .collect()
+    }
+
     fn counts_by_instance(
         &self,
         service: &ServiceName,
@@ -308,6 +332,7 @@
         let reports = self.instances.iter_mut();
         for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
             report.baseline = Some(report.latest.clone());
+            report.stage_baseline = report.latest.clone();
         }
     }
 
@@ -398,8 +423,15 @@
     }
 }
 
-/// Judges the target by the answers on one route.
-fn judge_route(new: &RouteStats, old: Option<&RouteStats>, recent: RecentPair) -> Verdict {
+/// Judges the target by the answers of its instances on one route, since the last reset and at the present
+/// stage.
+fn judge_route(
+    by_instance: &[RouteStats],
+    at_stage: &[RouteStats],
+    old: Option<&RouteStats>,
+    recent: RecentPair,
+) -> Verdict {
+    let new = &sum_better_half(by_instance.to_vec());
     let missing = f64::from(new.missing) / f64::from((new.answers + new.missing).max(1));
     if new.missing >= MIN_FAILURES && missing > MAX_MISSING_SHARE {
         return Verdict::Bad;
@@ -411,6 +443,8 @@
     // A version that fails only under load shows in its recent answers first.
     let fails_now =
         recent.new.failed >= f64::from(MIN_FAILURES) && recent.new.failure_rate() > allowed;
+    let expected = old_failure_rate.max(recent.old.failure_rate());
+    let is_alarm = is_alarm(by_instance, expected) || is_alarm(at_stage, expected);
     let failure_rate = if fails_now {
         recent.new.failure_rate()
     } else {
@@ -420,7 +454,7 @@
         && recent.old.failure_rate() > DEGRADED_FAILURE_RATE;
     let is_explained_by_service =
         is_service_degraded && failure_rate <= f64::midpoint(recent.old.failure_rate(), 1.0);
-    if (fails_since_start || fails_now) && !is_explained_by_service {
+    if (fails_since_start || fails_now || is_alarm) && !is_explained_by_service {
         return Verdict::Bad;
     }
     if is_service_degraded {
@@ -441,6 +475,26 @@
     Verdict::Good
 }
 
+/// Whether the failures of the target prove that it fails more often than expected, however often that is, and
+/// its better half does not speak against it.
+fn is_alarm(by_instance: &[RouteStats], expected: f64) -> bool {
+    let expected = expected.max(ACCEPTED_FAILURE_RATE);
+    let all = sum_all(by_instance.iter());
+    if expected > MAX_FAILURE_RATE || all.failures < MIN_FAILURES {
+        return false;
+    }
+    let better_half = sum_better_half(by_instance.to_vec());
+    ALARM_RATES.iter().any(|rate| {
+        let batch = |counts: &RouteStats| Batch {
+            faulty: u64::from(counts.failures),
+            calls: u64::from(counts.answers),
+            expected,
+            bad: rate.max(expected + ALARM_MARGIN),
+        };
+        batch(&all).is_alarm(ALARM_RATES.len()) && batch(&better_half).is_suspicious()
+    })
+}
+
 fn total_failure_rate(count: &RouteStats) -> f64 {
     f64::from(count.failures) / f64::from(count.answers.max(1))
 }
--- a/crates/mesh/src/canary/samples.rs
+++ b/crates/mesh/src/canary/samples.rs
@@ -21,11 +21,23 @@
 /// Sums the better half of a version's instances, since a few failing or slow instances indicate a
 /// fault of their machines and not of the version. Sums all where the better half has too few
 /// answers.
-pub(super) fn sum_better_half<S: Sample>(mut samples: Vec<S>) -> S {
+pub(super) fn sum_better_half<S: Sample>(samples: Vec<S>) -> S {
+    let half = samples.len().div_ceil(2);
+    sum_best(samples, half)
+}
+
+/// As [`sum_better_half`], without the worst quarter only: the better half of a few instances of a bad version
+/// has much fewer failures than all of them.
+pub(super) fn sum_but_worst_quarter<S: Sample>(samples: Vec<S>) -> S {
+    let most = samples.len() - samples.len().div_ceil(4);
+    sum_best(samples, most.max(1))
+}
+
+fn sum_best<S: Sample>(mut samples: Vec<S>, count: usize) -> S {
     samples.sort_by(|a, b| a.badness().total_cmp(&b.badness()));
-    let half = sum_all(samples[..samples.len().div_ceil(2)].iter());
-    if half.answers() >= f64::from(MIN_ANSWERS) {
-        half
+    let best = sum_all(samples.iter().take(count));
+    if best.answers() >= f64::from(MIN_ANSWERS) {
+        best
     } else {
         sum_all(samples.iter())
     }
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -188,7 +188,7 @@
     let (min_time, instances) = if is_late {
         (LATE_FULL_SHARE_TIME, ProofInstances::All)
     } else {
-        (MIN_FULL_SHARE_TIME, ProofInstances::BetterHalf)
+        (MIN_FULL_SHARE_TIME, ProofInstances::Most)
     };
     match record.stage {
         Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE => {
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -90,7 +90,16 @@
     /// Whether the batch speaks for the bad rate rather than for the expected one.
     #[must_use]
     pub fn is_suspicious(&self) -> bool {
-        self.log_ratio(self.expected, self.bad) < 0.0
+        self.log_ratio(self.bad, self.expected) > 0.0
+    }
+
+    /// Whether the batch alone proves that the rate is the bad one rather than the expected one, as one of
+    /// `tests` that share [`FALSE_ROLLBACK_PROBABILITY`].
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn is_alarm(&self, tests: usize) -> bool {
+        let threshold = (tests as f64 / FALSE_ROLLBACK_PROBABILITY).ln();
+        self.log_ratio(self.bad, self.expected) >= threshold
     }
 
     /// Log-likelihood ratio of the batch at rate `a` against rate `b`.
