Raise no share on the evidence that reduced it

Callers saw a bad version keep a large share for seconds, and get requests more than five seconds after its fiftieth bad answer: 471 of 2,254 requests where 275 were allowed. Its share went from 1000 to 30 of 1000 as suspicious and back to 500 as good 125 ms later, thirteen times in one play.

Cause: the step from a small share asked to rule out a failure rate of a half, the raised share one of a quarter, on the same answers; and a suspicion was forgotten with the stage, so nothing at the small share, where a version that fails under load is whole, kept the share from rising. Class: no hysteresis, and state that a transition drops.

Now a share is not raised while a route is suspicious by the test of the raised share. After a setback the routes must pass that test, and the answers of all instances since the share was first raised must prove together what the full share asks for. A suspicion needs the same odds as a proof, as it costs the move its time: single early failures made good versions late.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -250,17 +250,18 @@
         unproven
     }
 
-    /// Whether the answers of the target on all routes since the move entered its present stage prove
-    /// together that its rate of failed and missing ones is below the bad one.
+    /// Whether the answers of the target in `span` on all routes prove together that its rate of failed and
+    /// missing ones is below the bad one.
     #[must_use]
-    pub fn is_proven_at_stage(
+    pub fn is_proven(
         &self,
         service: &ServiceName,
         target: &VersionName,
+        span: ProofSpan,
         instances: ProofInstances,
         bad: BadRate,
     ) -> bool {
-        let by_instance = self.all_routes(service, target, ProofSpan::Stage);
+        let by_instance = self.all_routes(service, target, span);
         let new = match instances {
             ProofInstances::Most => sum_but_worst_quarter(by_instance),
             ProofInstances::All => sum_all(by_instance.iter()),
@@ -275,11 +276,15 @@
         sample.proof(bad, bad) == RouteProof::Proven
     }
 
-    /// Marks the time from which on [`ProofSpan::Stage`] counts the answers of a service.
-    pub fn begin_stage(&mut self, service: &ServiceName) {
+    /// Marks the time from which on [`ProofSpan::Stage`] counts the answers of a service, and
+    /// [`ProofSpan::Raised`] if no share was raised before.
+    pub fn begin_stage(&mut self, service: &ServiceName, is_first_raised: bool) {
         let reports = self.instances.iter_mut();
         for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
             report.stage_baseline = report.latest.clone();
+            if is_first_raised {
+                report.raised_baseline = report.latest.clone();
+            }
         }
     }
 
@@ -333,6 +338,7 @@
         for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
             report.baseline = Some(report.latest.clone());
             report.stage_baseline = report.latest.clone();
+            report.raised_baseline = report.latest.clone();
         }
     }
 
--- a/crates/mesh/src/canary/report.rs
+++ b/crates/mesh/src/canary/report.rs
@@ -15,6 +15,8 @@
 pub enum ProofSpan {
     /// All answers since the last reset of the counts.
     Move,
+    /// The answers since the move first had a raised share.
+    Raised,
     /// The answers since the move entered its present stage.
     Stage,
 }
@@ -34,6 +36,8 @@
     pub(super) baseline: Option<Evidence>,
     /// Evidence when the move entered its stage, or in the first report after that.
     pub(super) stage_baseline: Evidence,
+    /// Evidence when the move first got a raised share, or in the first report after that.
+    pub(super) raised_baseline: Evidence,
     /// Decaying counts of its answers by route, starting after the first report.
     pub(super) recent: FastMap<RouteName, Health>,
 }
@@ -47,6 +51,7 @@
                 ..evidence.clone()
             },
             stage_baseline: evidence.clone(),
+            raised_baseline: evidence.clone(),
             latest: evidence,
             last_report: now,
             baseline: None,
@@ -95,6 +100,7 @@
     ) -> impl Iterator<Item = (&RouteName, RouteStats)> {
         self.since(match span {
             ProofSpan::Move => self.baseline.as_ref(),
+            ProofSpan::Raised => Some(&self.raised_baseline),
             ProofSpan::Stage => Some(&self.stage_baseline),
         })
     }
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -98,12 +98,11 @@
         let mut verdict = canary.verdict(service, target, instances, now);
         let mut unproven = Vec::new();
         if verdict == Verdict::Good {
-            let (span, busy, quiet) = required_proof(record.stage);
-            unproven = canary.unproven_routes(service, target, span, busy, quiet);
+            unproven = unproven_routes(record, canary);
             let is_suspicious = |route: &UnprovenRoute| route.proof == RouteProof::Suspicious;
             verdict = if unproven.iter().any(is_suspicious) {
                 Verdict::Suspicious
-            } else if !unproven.is_empty() {
+            } else if !unproven.is_empty() || !is_cleared(record, canary) {
                 Verdict::Unproven
             } else if is_too_early(record, canary, elapsed, at_stage) {
                 Verdict::InsufficientData
@@ -140,7 +139,13 @@
         {
             return *entered;
         }
-        canary.begin_stage(service);
+        // The first two steps that raise the share follow each other closely; one that comes again does not
+        // begin anew.
+        let is_first_raised = match record.stage {
+            Stage::Sharing(share) => share < base::FULL_SHARE && record.setbacks == 0,
+            Stage::Complete | Stage::RolledBack => false,
+        };
+        canary.begin_stage(service, is_first_raised);
         self.entered.insert(service.clone(), (precedence, now));
         now
     }
@@ -159,18 +164,39 @@
     }
 }
 
-/// Returns which answers must rule out which rate of faulty ones, on busy and on quiet routes, before the
-/// stage after this one.
-fn required_proof(stage: Stage) -> (ProofSpan, BadRate, BadRate) {
-    match stage {
-        Stage::Sharing(base::FULL_SHARE..) => (ProofSpan::Stage, RAISED_BAD_RATE, FIRST_BAD_RATE),
-        Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE => {
-            (ProofSpan::Move, RAISED_BAD_RATE, FIRST_BAD_RATE)
+/// Returns the routes that lack proof for the stage after this one.
+fn unproven_routes(record: &MoveRecord, canary: &CanaryAnalysis) -> Vec<UnprovenRoute> {
+    let MoveOrder {
+        service, target, ..
+    } = &record.order;
+    let routes = |span, busy| canary.unproven_routes(service, target, span, busy, FIRST_BAD_RATE);
+    match record.stage {
+        Stage::Sharing(base::FULL_SHARE..) => routes(ProofSpan::Stage, RAISED_BAD_RATE),
+        Stage::Sharing(share) if share > MAX_UNPROVEN_SHARE || record.setbacks > 0 => {
+            routes(ProofSpan::Move, RAISED_BAD_RATE)
+        }
+        _ => {
+            let mut unproven = routes(ProofSpan::Move, FIRST_BAD_RATE);
+            // A raised share would be reduced at once on the answers that are suspicious there.
+            let mut suspicious = routes(ProofSpan::Move, RAISED_BAD_RATE);
+            suspicious.retain(|route| route.proof == RouteProof::Suspicious);
+            unproven.retain(|route| suspicious.iter().all(|other| other.name != route.name));
+            unproven.append(&mut suspicious);
+            unproven
         }
-        _ => (ProofSpan::Move, FIRST_BAD_RATE, FIRST_BAD_RATE),
     }
 }
 
+/// Whether the answers of all instances have removed the doubt that reduced the share, if any did. Few come
+/// at the small share from a version that fails under load only, so those at the raised one count on.
+fn is_cleared(record: &MoveRecord, canary: &CanaryAnalysis) -> bool {
+    let MoveOrder {
+        service, target, ..
+    } = &record.order;
+    let (span, instances) = (ProofSpan::Raised, ProofInstances::All);
+    record.setbacks == 0 || canary.is_proven(service, target, span, instances, FULL_BAD_RATE)
+}
+
 /// Whether a raised stage has shown too little yet, over all routes.
 fn is_too_early(
     record: &MoveRecord,
@@ -195,7 +221,13 @@
             canary.answers_at_stage(service, target) < STAGE_ANSWERS
                 || (share >= base::FULL_SHARE
                     && (at_stage < min_time
-                        || !canary.is_proven_at_stage(service, target, instances, FULL_BAD_RATE)))
+                        || !canary.is_proven(
+                            service,
+                            target,
+                            ProofSpan::Stage,
+                            instances,
+                            FULL_BAD_RATE,
+                        )))
         }
         _ => false,
     }
--- a/crates/mesh/src/route_proof.rs
+++ b/crates/mesh/src/route_proof.rs
@@ -85,7 +85,7 @@
         if batch.is_proof() {
             return RouteProof::Proven;
         }
-        if faulty >= MIN_FAULTY && batch.is_suspicious() {
+        if faulty >= MIN_FAULTY && batch.is_proof_of_bad() {
             return RouteProof::Suspicious;
         }
         if self.has_share_of(RARE_ROUTE_DIVISOR) {
--- a/crates/mesh/src/tests/move_proof.rs
+++ b/crates/mesh/src/tests/move_proof.rs
@@ -111,6 +111,20 @@
     f64::from(u32::try_from(hash % 1000).unwrap()) / 1000.0
 }
 
+fn counted_evidence(version: &str, routes: &[SimulatedRoute], counted: &[Counted]) -> Evidence {
+    Evidence {
+        service: "catalogue".into(),
+        version: version.into(),
+        born: 1,
+        routes: routes
+            .iter()
+            .zip(counted)
+            .map(|(route, counted)| (route.name.into(), counted.stats.clone()))
+            .filter(|(_, stats)| stats.answers > 0)
+            .collect(),
+    }
+}
+
 /// Plays a move of a service for three times the time that the order allows.
 fn play(routes: &[SimulatedRoute], scenario: Scenario, seed: u64) -> Outcome {
     let start = Instant::now();
@@ -186,22 +200,16 @@
         if bad_answers >= 50 {
             outcome.shown_bad.get_or_insert(elapsed);
         }
-        let evidence = |version: &str, counted: &[Counted]| Evidence {
-            service: "catalogue".into(),
-            version: version.into(),
-            born: 1,
-            routes: routes
-                .iter()
-                .zip(counted)
-                .map(|(route, counted)| (route.name.into(), counted.stats.clone()))
-                .filter(|(_, stats)| stats.answers > 0)
-                .collect(),
-        };
         let daemon = |name: &str| DaemonId::from(name);
-        canary.merge(&daemon("a"), 1, evidence("v1", &old), now);
+        canary.merge(&daemon("a"), 1, counted_evidence("v1", routes, &old), now);
         for (instance, counted) in new.iter().enumerate() {
             let name = daemon(&format!("b{instance}"));
-            canary.merge(&name, incarnation, evidence("v2", counted), now);
+            canary.merge(
+                &name,
+                incarnation,
+                counted_evidence("v2", routes, counted),
+                now,
+            );
         }
         if record.is_open() && elapsed >= scenario.outage_until {
             let decision = decider.decide(&record, &mut canary, new.len(), elapsed, now);
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -93,6 +93,13 @@
         self.log_ratio(self.bad, self.expected) > 0.0
     }
 
+    /// Whether the batch alone proves that the rate is the bad one rather than the expected one, with
+    /// [`MISSED_BAD_PROBABILITY`] of an error.
+    #[must_use]
+    pub fn is_proof_of_bad(&self) -> bool {
+        self.log_ratio(self.bad, self.expected) >= proof_threshold()
+    }
+
     /// Whether the batch alone proves that the rate is the bad one rather than the expected one, as one of
     /// `tests` that share [`FALSE_ROLLBACK_PROBABILITY`].
     #[must_use]
