Reproduce CONFIG: only the leaders read, and the store stops answering them

From the log: 21.0 s silent, all first leaders lost their reads after 2,301 ms, at 23.5 s; version 181 was acknowledged at 21.557 s; the first daemon that the store answers has a new version at 23.73 s.

The test lets the reads of two leaders hang just after they were sent, and asks for the next version at a third daemon within the two seconds of the users.

--- a/crates/sidecar/tests/end_to_end/store.rs
+++ b/crates/sidecar/tests/end_to_end/store.rs
@@ -5,6 +5,8 @@
 
 use crate::fleet::Machine;
 use crate::fleet::append;
+use crate::fleet::boot;
+use crate::fleet::machine;
 use crate::fleet::put_config;
 use crate::fleet::wait_until;
 use crate::fleet::with_fleet;
@@ -19,7 +21,11 @@
     assert_config_in_force_by(machines, version, Instant::now() + CONFIG_TIME).await;
 }
 
-async fn assert_config_in_force_by(machines: [&Machine; 2], version: u64, end: Instant) {
+async fn assert_config_in_force_by<const N: usize>(
+    machines: [&Machine; N],
+    version: u64,
+    end: Instant,
+) {
     while machines
         .iter()
         .any(|machine| machine.daemon.config_version() != version)
@@ -121,3 +127,34 @@
         (front, back)
     });
 }
+
+/// Fault seen on days on which the store stopped answering the leaders only: nobody else read, and the
+/// followers, which the store would have answered, had a configuration late.
+#[test]
+fn followers_have_a_configuration_in_time_while_the_reads_of_their_leaders_are_silent() {
+    with_fleet(39, |store, front, back| async move {
+        let follower = machine(boot(39, 4, "spare"), 4).await;
+        wait_until("all daemons know each other", || {
+            let machines = [&front, &back, &follower];
+            machines
+                .iter()
+                .all(|machine| machine.daemon.member_count() == 3)
+        })
+        .await;
+        for version in (5..=13).step_by(4) {
+            put_config(&store, version, "bookings");
+            let end = Instant::now() + CONFIG_TIME;
+            assert_config_in_force_by([&front, &back, &follower], version, end).await;
+            // The leaders have just sent their next reads.
+            monoio::time::sleep(Duration::from_millis(400)).await;
+            store.faults().is_silent.set(true);
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            store.faults().is_silent.set(false);
+            put_config(&store, version + 2, "bookings");
+            let end = Instant::now() + CONFIG_TIME;
+            assert_config_in_force_by([&follower], version + 2, end).await;
+        }
+        follower.close().await;
+        (front, back)
+    });
+}
