Find within a second and a half that the store will not answer the leaders

Callers saw a route refused 2.1 s after its version was acknowledged, at daemons that the store would have answered: only the leaders read, the store had gone silent for all of them, and they noticed it 2.3 s after the read was sent, which is longer than the time in which a configuration must be in force.

Now a first leader's read waits 1 s and its response may take 0.5 s longer, and a leader that lost the store asks two daemons of each other zone for their version, as the next leaders of its zone may be turned away too.

--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -196,6 +196,13 @@
         self.send_gossip(&probe, [address]).await;
     }
 
+    /// Asks a few daemons of each other zone for a reply, which names their configuration version.
+    pub async fn probe_other_zones(&self) {
+        for address in self.relay_addresses() {
+            self.send_probe(address).await;
+        }
+    }
+
     /// Sends this daemon's member record to all daemons of its zone, and to a few of each other zone,
     /// which pass it on.
     pub async fn broadcast_announcement(&self) {
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -35,8 +35,9 @@
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The same for the operator's records at the first leader of a zone. A read that the store never answers
-/// is found by its timeout only, and within three seconds of an outage the leaders must read again.
-const FIRST_LEADER_POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// is found by its timeout only, and another daemon must then have read within the two seconds in which a
+/// configuration must be in force.
+const FIRST_LEADER_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Interval at which a follower checks whether it has become a leader; a tenth of the lifetime of a
 /// leadership claim.
@@ -176,6 +177,9 @@
                     });
                 }
                 is_store_available = false;
+                if topic == Topic::Operator {
+                    node.probe_other_zones().await;
+                }
                 // A call that timed out has waited already.
                 let delay = backoff.next_delay();
                 monoio::time::sleep(delay.saturating_sub(called_at.elapsed())).await;
