Let daemons that do not lead read the store for leaders that it does not answer

Cause: a substitute is tried one after the other, each with the whole timeout. Class: serial failover. Now a leader whose read of the operator's records fails asks three random daemons of its zone and one of each other zone, at most once in 2 s; those read once in 1 s for 5 s while the store answers them, and announce a newer configuration to all.

--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -201,6 +201,8 @@
     pub wants_reply: bool,
     /// Whether the receiver must pass the sender's announcement on to its zone.
     pub wants_relay: bool,
+    /// Whether the receiver must read the operator's records, since the store does not answer the sender.
+    pub wants_read: bool,
     /// States of other instances, which the sender received from their daemons.
     pub loads: Vec<MemberLoad>,
     /// Announcements that the sender wrote to the store.
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -49,6 +49,9 @@
 /// second one counts when the first has just failed.
 const RELAYS_PER_ZONE: usize = 2;
 
+/// Daemons of its own zone that a leader asks to read for it, beside one of each other zone.
+const READERS_IN_ZONE: usize = 3;
+
 /// Age up to which a leader passes the report of an instance on.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(600);
 
@@ -196,11 +199,18 @@
         self.send_gossip(&probe, [address]).await;
     }
 
-    /// Asks a few daemons of each other zone for a reply, which names their configuration version.
-    pub async fn probe_other_zones(&self) {
-        for address in self.relay_addresses() {
-            self.send_probe(address).await;
-        }
+    /// Asks some random daemons to read the operator's records from the store, and for a reply, which names the
+    /// configuration version that they have.
+    pub async fn send_read_request(&self) {
+        let request = Gossip {
+            wants_reply: true,
+            wants_read: true,
+            ..self.build_gossip(Vec::new())
+        };
+        let own_zone = self.boot.borrow().zone.clone();
+        let mut readers = self.random_addresses_by_zone(1, |zone| *zone != own_zone);
+        readers.extend(self.random_addresses_by_zone(READERS_IN_ZONE, |zone| *zone == own_zone));
+        self.send_gossip(&request, readers).await;
     }
 
     /// Sends this daemon's member record to all daemons of its zone, and to a few of each other zone,
@@ -236,24 +246,34 @@
     /// Returns the addresses of [`RELAYS_PER_ZONE`] random daemons of each other zone.
     fn relay_addresses(&self) -> Vec<SocketAddr> {
         let own_zone = self.boot.borrow().zone.clone();
+        self.random_addresses_by_zone(RELAYS_PER_ZONE, |zone| *zone != own_zone)
+    }
+
+    /// Returns the addresses of up to `count` other daemons of each zone that satisfies `keep`, chosen at random.
+    fn random_addresses_by_zone(
+        &self,
+        count: usize,
+        keep: impl Fn(&ZoneName) -> bool,
+    ) -> Vec<SocketAddr> {
+        let own_name = self.name();
         let directory = self.directory.borrow();
         let mut by_zone: FastMap<ZoneName, Vec<SocketAddr>> = FastMap::default();
         for entry in directory.entries() {
             let member = &entry.member;
-            if member.zone != own_zone && member.is_open {
+            if member.daemon != own_name && member.is_open && keep(&member.zone) {
                 let addresses = by_zone.entry(member.zone.clone()).or_default();
                 addresses.push(member.address);
             }
         }
-        let mut relays = Vec::new();
+        let mut chosen = Vec::new();
         for mut addresses in by_zone.into_values() {
-            for _ in 0..RELAYS_PER_ZONE.min(addresses.len()) {
+            for _ in 0..count.min(addresses.len()) {
                 let len = u64::try_from(addresses.len()).unwrap_or(1);
                 let index = usize::try_from(self.random() % len).unwrap_or(0);
-                relays.push(addresses.swap_remove(index));
+                chosen.push(addresses.swap_remove(index));
             }
         }
-        relays
+        chosen
     }
 
     /// Passes the announcement of a daemon in another zone on to this zone if it asks for that.
@@ -366,6 +386,7 @@
             claim: self.claim(),
             wants_reply: false,
             wants_relay: false,
+            wants_read: false,
             loads: Vec::new(),
             stored: Vec::new(),
             crashes: self.crash_to_send(),
@@ -382,6 +403,9 @@
             self.merge_member(member, "gossip");
         }
         self.record_contact(&sender);
+        if gossip.wants_read {
+            self.read_requests.is_requested.set(true);
+        }
         self.handle_claim(&sender, gossip.claim, from);
         if let Some(evidence) = gossip.evidence {
             self.canary
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 mod node;
 mod notices;
 mod quarantine;
+mod read_requests;
 pub mod run;
 mod slot;
 mod store_sync;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -64,6 +64,7 @@
 use crate::logs::EventLog;
 use crate::quarantine::CrashDetector;
 use crate::quarantine::IsolationGate;
+use crate::read_requests::ReadRequests;
 use crate::transfer::TransferGate;
 
 /// Idle time after which a connection to a peer is not reused; shorter than the time after which
@@ -87,6 +88,7 @@
     pub compressed_config: RefCell<Bytes>,
     /// Address of a peer that announced a later configuration.
     pub config_source: Cell<Option<SocketAddr>>,
+    pub read_requests: ReadRequests,
     /// Address of a peer with members that this daemon lacks.
     pub members_source: Cell<Option<SocketAddr>>,
     pub election: RefCell<LeaderElection>,
@@ -155,6 +157,7 @@
             active_table: RefCell::default(),
             compressed_config: RefCell::default(),
             config_source: Cell::new(None),
+            read_requests: ReadRequests::default(),
             members_source: Cell::new(None),
             election: RefCell::new(LeaderElection::new(
                 boot.daemon.clone(),
@@ -231,17 +234,14 @@
 
     /// Drops what is no longer valid if the process has just stood still; called at short intervals.
     pub fn check_wake(&self) {
-        let woke = self
-            .wake
-            .borrow_mut()
-            .tick(clock::boot_time(self.started_at));
-        let Some(stood_still) = woke else { return };
+        let now = clock::boot_time(self.started_at);
+        let Some(stood_still) = self.wake.borrow_mut().tick(now) else {
+            return;
+        };
         self.election.borrow_mut().record_wake(Instant::now());
         self.dispatcher.refuse_waiting(NotRunReason::GivenUp);
-        self.log_state(
-            "woke",
-            || json!({ "stood_still_ms": stood_still.as_millis() }),
-        );
+        let stood_still_ms = stood_still.as_millis();
+        self.log_state("woke", || json!({ "stood_still_ms": stood_still_ms }));
     }
 
     /// Records bytes on the machine's network link.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -43,6 +43,7 @@
 use crate::node::Node;
 use crate::node::SharedNode;
 use crate::quarantine;
+use crate::read_requests;
 use crate::store_sync;
 
 /// Port of the metrics endpoint; the deployment file names the same one.
@@ -228,6 +229,7 @@
     monoio::spawn(store_sync::follow_topic(Rc::clone(node), Topic::Operator));
     monoio::spawn(store_sync::follow_topic(Rc::clone(node), Topic::Mesh));
     monoio::spawn(store_sync::fetch_from_peers(Rc::clone(node)));
+    monoio::spawn(read_requests::read_for_others(Rc::clone(node)));
     monoio::spawn(announce::announce(Rc::clone(node)));
     monoio::spawn(announce::write_for_zone(Rc::clone(node)));
     monoio::spawn(move_controller::decide_moves(Rc::clone(node)));
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -178,7 +178,7 @@
                 }
                 is_store_available = false;
                 if topic == Topic::Operator {
-                    node.probe_other_zones().await;
+                    node.ask_for_read().await;
                 }
                 // A call that timed out has waited already.
                 let delay = backoff.next_delay();
@@ -310,7 +310,8 @@
         }
     }
 
-    async fn read_newest(&self, topic: Topic) -> Result<StorePosition, StoreError> {
+    /// Reads and applies the newest record of each key.
+    pub(crate) async fn read_newest(&self, topic: Topic) -> Result<StorePosition, StoreError> {
         let newest = self.store.newest(topic).await?;
         let position = newest.position();
         for record in newest.records {
--- a/crates/sidecar/tests/end_to_end/store.rs
+++ b/crates/sidecar/tests/end_to_end/store.rs
@@ -1,13 +1,20 @@
 //! The store loses records, or its offsets no longer name the same ones.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use users_platform::BootConfig;
+
+use crate::common::STORE;
 use crate::fleet::Machine;
 use crate::fleet::append;
 use crate::fleet::boot;
+use crate::fleet::ip;
 use crate::fleet::machine;
 use crate::fleet::put_config;
+use crate::fleet::serve;
 use crate::fleet::wait_until;
 use crate::fleet::with_fleet;
 
@@ -158,3 +165,38 @@
         (front, back)
     });
 }
+
+/// Fault seen on days on which the store stopped answering more than half of the daemons: each next leader
+/// of a zone was one of them, and tried for itself before another one did.
+#[test]
+fn a_configuration_is_in_force_in_time_while_the_store_answers_one_daemon_only() {
+    with_fleet(40, |store, front, back| async move {
+        let for_one = store.with_own_faults();
+        let address = SocketAddr::new(ip(40, 9), STORE);
+        let server = serve(address, Rc::new(for_one));
+        let next = machine(boot(40, 4, "spare"), 4).await;
+        let settings = BootConfig {
+            store_address: address,
+            ..boot(40, 5, "spare")
+        };
+        let reachable = machine(settings, 5).await;
+        wait_until("all daemons know each other", || {
+            let machines = [&front, &back, &next, &reachable];
+            machines
+                .iter()
+                .all(|machine| machine.daemon.member_count() == 4)
+        })
+        .await;
+        put_config(&store, 5, "bookings");
+        assert_config_in_force([&front, &back], 5).await;
+        monoio::time::sleep(Duration::from_millis(400)).await;
+        store.faults().is_silent.set(true);
+        put_config(&store, 7, "bookings");
+        let end = Instant::now() + CONFIG_TIME;
+        assert_config_in_force_by([&reachable], 7, end).await;
+        server.close(Duration::ZERO).await;
+        next.close().await;
+        reachable.close().await;
+        (front, back)
+    });
+}
--- a/standins/store/src/service.rs
+++ b/standins/store/src/service.rs
@@ -44,6 +44,15 @@
 }
 
 impl StoreService {
+    /// Returns a service on the same topics with faults of its own, as for callers that the store turns away.
+    #[must_use]
+    pub fn with_own_faults(&self) -> Self {
+        Self {
+            topics: Rc::clone(&self.topics),
+            faults: Rc::default(),
+        }
+    }
+
     /// Returns the faults; setting a cell takes effect for later calls.
     #[must_use]
     pub fn faults(&self) -> &Faults {
