Count the time of a move on monotonic clocks that the daemons pass on

Cause: the time was that since this process saw the order or, up to twice the time of the move, the difference of two daemons' wall clocks. A late move began again with each leader that had started after its order, and a clock that was set back as the order came made all steps due at once. Class: a time that depends on who asks.

Now records carry the time since their order as their sender has counted it, each daemon takes over the longest, and it never falls. Wall clocks count only for a daemon that has just started and finds the record in the store, up to the time of the move. Not spread: what one daemon estimates from its own wall clock. Records of the code before are read.

The clock is pure now, in mesh::order_clock.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod move_decision;
 pub mod moves;
+pub mod order_clock;
 pub mod quarantine;
 pub mod rate_limit;
 pub mod retry_budgets;
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -49,6 +49,9 @@
     /// Routes that send [`BOOSTED_SHARE`] of their requests to the target: they have few, and lack proof.
     /// They change with the stage only.
     pub boosted: Vec<RouteName>,
+    /// Time since the order, as the daemon that sent or stored the record had counted it.
+    #[serde(default)]
+    pub elapsed: Duration,
 }
 
 impl MoveRecord {
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -9,6 +9,7 @@
 mod move_proof;
 mod move_steps;
 mod moves;
+mod order_clock;
 mod placement;
 mod quarantine;
 mod rate_limit;
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -29,6 +29,7 @@
         setbacks: 0,
         is_settled: false,
         boosted: Vec::new(),
+        elapsed: Duration::ZERO,
     }
 }
 
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -24,6 +24,7 @@
 use serde_json::json;
 
 use crate::logs::EventClass;
+use crate::move_controller::MoveSource;
 use crate::node::Node;
 use crate::node::SharedNode;
 
@@ -375,14 +376,18 @@
     fn build_gossip(&self, others: Vec<Member>) -> Gossip {
         let mut members: Vec<Member> = self.own_member().into_iter().collect();
         members.extend(others);
-        let moves = self.moves.borrow();
+        let (moves, clocks) = (self.moves.borrow(), self.order_clocks.borrow());
+        let now = Instant::now();
         let evidence = self.has_open_move().then(|| self.dispatcher.evidence(self));
         Gossip {
             members,
             config: self.active_table.borrow().version(),
             report: self.load_report(),
             evidence: evidence.flatten(),
-            moves: moves.records().cloned().collect(),
+            moves: moves
+                .records()
+                .map(|record| clocks.stamp(record, now))
+                .collect(),
             claim: self.claim(),
             wants_reply: false,
             wants_relay: false,
@@ -413,7 +418,7 @@
                 .merge(&sender, incarnation, evidence, Instant::now());
         }
         for record in gossip.moves {
-            self.merge_move(record, "gossip");
+            self.merge_move(record, MoveSource::Gossip);
         }
         self.record_config_version(gossip.config, from);
         self.merge_quarantine(gossip.crashes, gossip.quarantined);
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -18,6 +18,7 @@
 use mesh::moves::SettleAction;
 use mesh::moves::Stage;
 use mesh::moves::settle;
+use mesh::order_clock::RecordSource;
 use mesh::wire::Record;
 use protocol::codec;
 use report::metrics::LogRequest;
@@ -37,13 +38,32 @@
 /// Prefix of the keys of move records, in the mesh topic and in the reports topic.
 const MOVE_KEY_PREFIX: &str = "move/";
 
-/// Clock by which the time since an order is measured.
+/// Channel by which a daemon learned of a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ElapsedClock {
-    /// The monotonic clock, from when this process first saw the order.
-    Process,
-    /// The wall clocks of the daemon that first saw the order and of this one.
-    Wall,
+pub enum MoveSource {
+    /// The operator's order.
+    Operator,
+    /// Another daemon.
+    Gossip,
+    /// A record in the store.
+    Store,
+    /// A verdict of this daemon that is not stored yet.
+    Verdict,
+    /// A decision that this daemon has stored.
+    Controller,
+}
+
+impl MoveSource {
+    /// Returns the name in the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Gossip => "gossip",
+            Self::Store => "store",
+            Self::Verdict => "verdict",
+            Self::Controller => "controller",
+        }
+    }
 }
 
 /// Decides on open moves while this daemon is the controller. Runs until the process ends.
@@ -84,16 +104,21 @@
             setbacks: 0,
             is_settled: false,
             boosted: Vec::new(),
+            elapsed: Duration::ZERO,
         };
-        self.merge_move(record, "operator");
+        self.merge_move(record, MoveSource::Operator);
     }
 
-    /// Merges a move record. `source` names the channel in the log.
-    pub fn merge_move(&self, record: MoveRecord, source: &'static str) {
-        self.order_first_seen
+    /// Merges a move record.
+    pub fn merge_move(&self, record: MoveRecord, source: MoveSource) {
+        let record_source = match source {
+            MoveSource::Store => RecordSource::Store,
+            _ => RecordSource::Live,
+        };
+        let wall = unix_millis(SystemTime::now());
+        self.order_clocks
             .borrow_mut()
-            .entry(record.order.offset)
-            .or_insert_with(Instant::now);
+            .learn(&record, record_source, wall, Instant::now());
         let service = record.order.service.clone();
         if self.moves.borrow_mut().merge(record) {
             self.log_state("move-learned", || {
@@ -104,7 +129,7 @@
                     "target": record.map(|record| &record.order.target),
                     "order": record.map(|record| record.order.offset),
                     "stage": record.map(|record| format!("{:?}", record.stage)),
-                    "source": source,
+                    "source": source.name(),
                 })
             });
         }
@@ -156,7 +181,7 @@
         let order = &record.order;
         let now = Instant::now();
         let instances = self.instances_of(&order.service, &order.target);
-        let (elapsed, clock) = self.elapsed(record);
+        let (elapsed, clock) = self.order_clocks.borrow().elapsed(record, now);
         let mut canary = self.canary.borrow_mut();
         let mut decider = self.move_decider.borrow_mut();
         let decision = decider.decide(record, &mut canary, instances, elapsed, now);
@@ -226,26 +251,12 @@
             .collect()
     }
 
-    /// Returns the time since the order: since this daemon first saw it or, if that is longer, by
-    /// the wall clock. The wall clock is trusted up to twice the duration of the move only.
-    fn elapsed(&self, record: &MoveRecord) -> (Duration, ElapsedClock) {
-        let first_seen = self.order_first_seen.borrow();
-        let since_seen = first_seen
-            .get(&record.order.offset)
-            .map_or(Duration::ZERO, Instant::elapsed);
-        let now = unix_millis(SystemTime::now());
-        let by_wall_clock = Duration::from_millis(now.saturating_sub(record.began));
-        if by_wall_clock > record.order.within * 2 || by_wall_clock < since_seen {
-            return (since_seen, ElapsedClock::Process);
-        }
-        (by_wall_clock, ElapsedClock::Wall)
-    }
-
     /// Publishes a decision: a rollback at once, all others after the store accepted them. Returns
     /// the record now in force.
     async fn commit(&self, decided: MoveRecord) -> Option<MoveRecord> {
+        let decided = self.order_clocks.borrow().stamp(&decided, Instant::now());
         if decided.stage == Stage::RolledBack {
-            self.merge_move(decided.clone(), "verdict");
+            self.merge_move(decided.clone(), MoveSource::Verdict);
         }
         let stored = match self.store_move(&decided).await {
             Ok(stored) => stored,
@@ -254,7 +265,7 @@
                 return None;
             }
         };
-        self.merge_move(stored.clone(), "controller");
+        self.merge_move(stored.clone(), MoveSource::Controller);
         let key = move_key(&stored);
         let value = codec::encode(&Record::Move(stored.clone()));
         self.metrics.record_log_request(LogRequest::Append);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,7 +10,6 @@
 use base::DaemonId;
 use base::FastMap;
 use base::Incarnation;
-use base::Offset;
 use base::ServiceName;
 use bytes::Bytes;
 use http_edge::DatagramSocket;
@@ -38,6 +37,7 @@
 use mesh::move_decision::MoveDecider;
 use mesh::moves::Moves;
 use mesh::moves::VersionFilter;
+use mesh::order_clock::OrderClocks;
 use mesh::quarantine;
 use mesh::quarantine::Quarantine;
 use mesh::retry_budgets::RetryBudgets;
@@ -107,8 +107,7 @@
     pub moves: RefCell<Moves>,
     pub canary: RefCell<CanaryAnalysis>,
     pub move_decider: RefCell<MoveDecider>,
-    /// When this daemon first saw each order, by the order's offset.
-    pub order_first_seen: RefCell<FastMap<Offset, Instant>>,
+    pub order_clocks: RefCell<OrderClocks>,
     pub dispatcher: InstanceDispatcher,
     pub quarantine: RefCell<Quarantine>,
     pub crash_detector: CrashDetector,
@@ -179,7 +178,7 @@
             moves: RefCell::default(),
             canary: RefCell::default(),
             move_decider: RefCell::default(),
-            order_first_seen: RefCell::default(),
+            order_clocks: RefCell::new(OrderClocks::new(started_at)),
             dispatcher: InstanceDispatcher::new(boot.instance_address),
             quarantine: RefCell::default(),
             crash_detector: CrashDetector::default(),
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -27,6 +27,7 @@
 use crate::compression;
 use crate::forward::CONFIG_PATH;
 use crate::forward::MEMBERS_PATH;
+use crate::move_controller::MoveSource;
 use crate::node::Node;
 use crate::node::SharedNode;
 
@@ -446,7 +447,7 @@
                     self.pending_members.borrow_mut().push(member);
                 }
             }
-            Ok(Record::Move(record)) => self.merge_move(record, "store"),
+            Ok(Record::Move(record)) => self.merge_move(record, MoveSource::Store),
             Ok(Record::Quarantined(record)) => self.merge_stored_quarantine(record),
             Err(e) => {
                 self.log_state(
