Admission: a queue stays short while a shortage of slots lasts

Hypothesis: after the loss of instances the queue stands at the longest wait that admission allows, by the mean service time; it serves no more than a short one, and a fifth of the answers is late, since work varies.

Change: while four fifths of the arrivals of a second find no free slot, a request waits only if its answer is in time by the mean service time of its route and four mean deviations, or for a third of the service time. The correction of expected waits and the descriptions of requests have modules of their own.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -1,16 +1,20 @@
 //! Admission control for one instance: which requests run, wait, or are refused.
 //!
 //! Handles overload of the instance's slots: bursts, abusive retries, and all clients returning at
-//! once after an outage. A request waits only while its answer can still have its full value. The
-//! more urgent rank goes first and, in a full queue, displaces a less urgent one. Within a rank,
-//! requests much shorter than the mean go first and may wait until their deadline: most are calls
-//! that a running request waits for, and refusing them wastes its work. A request that cannot be
-//! served is refused as soon as this is known, so that the client can retry within its time.
+//! once after an outage. A request waits only while its answer can still have its full value, and only
+//! if that is likely once the shortage of slots lasts (module `shortage`). The more urgent rank goes
+//! first and, in a full queue, displaces a less urgent one. Within a rank, requests much shorter than
+//! the mean go first and may wait until their deadline: most are calls that a running request waits
+//! for, and refusing them wastes its work. A request that cannot be served is refused as soon as this
+//! is known, so that the client can retry within its time.
 
 mod queue;
+mod request;
 mod reserve;
 mod returns;
 mod service_times;
+mod shortage;
+mod wait_ratio;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -23,11 +27,16 @@
 
 use self::queue::Queued;
 use self::queue::WaitQueue;
+pub use self::request::AdmissionCfg;
+pub use self::request::AdmissionRequest;
+pub use self::request::Ended;
 use self::reserve::Arrival;
 use self::reserve::Reserve;
 pub use self::returns::return_after;
 use self::service_times::Length;
 use self::service_times::ServiceTimes;
+use self::shortage::Shortage;
+use self::wait_ratio::WaitRatio;
 use crate::config::Rank;
 use crate::config::RouteName;
 use crate::customers::CustomerName;
@@ -36,64 +45,14 @@
 use crate::rate_limit::RateLimiter;
 use crate::rate_limit::RequestRate;
 
-/// Parameters of an [`AdmissionController`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AdmissionCfg {
-    /// Number of requests that the instance runs concurrently.
-    pub slots: u32,
-    /// Maximum number of waiting requests.
-    pub max_queued: usize,
-    /// Shortest retry-after of a refusal.
-    pub min_retry_after: Duration,
-    /// Longest retry-after of a refusal.
-    pub max_retry_after: Duration,
-}
-
-/// A request for a slot of the instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AdmissionRequest<K> {
-    /// Identifies the request.
-    pub key: K,
-    /// Route that it matched; service times are kept by route.
-    pub route: RouteName,
-    /// Priority; 0 is the most urgent.
-    pub rank: Rank,
-    /// Time until which the answer has its full value.
-    pub full_value_until: Instant,
-    /// Time at which the client gives up.
-    pub deadline: Instant,
-    /// Service time assumed until requests of the route have ended. After a restart the first requests
-    /// come all at once; with too low a value they would queue until they are late.
-    pub expected_service_time: Duration,
-}
-
-/// Weight of the latest wait in the ratio of actual to expected waits: averages over the last
-/// twenty.
-const WAIT_RATIO_SMOOTHING: f64 = 0.05;
-
-/// Lower bound of the expected wait, in seconds, in its comparison with the actual one: the error
-/// of timers is as large.
-const MIN_EXPECTED_WAIT_SECS: f64 = 0.005;
-
-/// Upper bound of the ratio of actual to expected waits: above it an instance is stalled, which
-/// missing replies show sooner.
-const MAX_WAIT_RATIO: f64 = 4.0;
+/// Part of its service time, as a divisor, that a request may wait whatever the load: a queue of that
+/// length keeps the slots busy.
+const SHORT_WAIT_DIVISOR: u32 = 3;
 
 /// Longest time that a request waits because the instance is cold; another instance may have room, and while
 /// none has, others arrive in its place.
 const MAX_COLD_WAIT: Duration = Duration::from_millis(100);
 
-/// The end of a running request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ended<'a> {
-    /// Its priority.
-    pub rank: Rank,
-    /// Its route.
-    pub route: &'a RouteName,
-    /// Its service time, if it ended with an answer.
-    pub took: Option<Duration>,
-}
-
 /// Decides which requests run, wait, or are refused. `K` identifies a request.
 #[derive(Debug)]
 pub struct AdmissionController<K> {
@@ -105,8 +64,8 @@
     /// Whether slots are kept free for more urgent ranks.
     keeps_slots: bool,
     service_times: ServiceTimes,
-    /// Moving average of the ratio of actual to expected waits of long requests.
-    wait_ratio: f64,
+    wait_ratio: WaitRatio,
+    shortage: Shortage,
 }
 
 impl<K: PartialEq + Clone> AdmissionController<K> {
@@ -121,7 +80,8 @@
             reserve: Reserve::default(),
             keeps_slots: false,
             service_times: ServiceTimes::default(),
-            wait_ratio: 1.0,
+            wait_ratio: WaitRatio::default(),
+            shortage: Shortage::default(),
         }
     }
 
@@ -140,7 +100,11 @@
         self.record_arrival(&request, now);
         let (rank, length) = (request.rank, self.service_times.length_of(&request.route));
         let place = self.queue.place_for(rank, length, &customer);
-        if place.position == 0 && self.can_start(rank, now) {
+        let starts = place.position == 0 && self.can_start(rank, now);
+        if length == Length::Long {
+            self.shortage.record_arrival(!starts, now);
+        }
+        if starts {
             if now + self.service_times.of(&request.route) / 2 > request.deadline {
                 return AdmissionDecision::Refused(
                     self.not_run(NotRunReason::DeadlineTooShort, now),
@@ -157,7 +121,9 @@
             ));
         }
         let wait = self.expected_wait_at(place.position, rank, length, now);
-        if !self.is_worth_waiting(&request, length, wait, now) {
+        if !self.is_worth_waiting(&request, length, wait, now)
+            || self.is_likely_late(&request, place.position, wait, now)
+        {
             return AdmissionDecision::Refused(self.refusal_of(rank, now));
         }
         let (key, cost) = (request.key.clone(), self.service_times.of(&request.route));
@@ -214,6 +180,23 @@
             || (may_exceed_full_value && answered_at <= request.deadline)
     }
 
+    /// Whether the answer to a request that waits is likely to be late while others, which come later, can
+    /// still be in time. Waits for the limit of the instance have bounds of their own.
+    fn is_likely_late(
+        &self,
+        request: &AdmissionRequest<K>,
+        position: usize,
+        wait: Duration,
+        now: Instant,
+    ) -> bool {
+        let times = &self.service_times;
+        self.shortage.is_lasting()
+            && times.length_of(&request.route) == Length::Long
+            && wait > times.of(&request.route) / SHORT_WAIT_DIVISOR
+            && self.limiter.wait(position, now).is_zero()
+            && now + wait + times.upper_bound_of(&request.route) > request.full_value_until
+    }
+
     /// Records the end of a running request. Call [`Self::next`] afterwards.
     pub fn ended(&mut self, ended: &Ended) {
         self.running = self.running.saturating_sub(1);
@@ -275,12 +258,8 @@
         if queued.length == Length::Short {
             return;
         }
-        let actual = now
-            .saturating_duration_since(queued.enqueued_at)
-            .as_secs_f64();
-        let expected = queued.expected_wait.as_secs_f64() / self.wait_ratio;
-        let ratio = (actual / expected.max(MIN_EXPECTED_WAIT_SECS)).clamp(1.0, MAX_WAIT_RATIO);
-        self.wait_ratio += WAIT_RATIO_SMOOTHING * (ratio - self.wait_ratio);
+        let actual = now.saturating_duration_since(queued.enqueued_at);
+        self.wait_ratio.record(actual, queued.expected_wait);
     }
 
     /// Whether the answer to a long request would come too late for its full value while another
@@ -334,7 +313,14 @@
     pub fn reset_for_new_instance(&mut self) {
         self.limiter = RateLimiter::default();
         self.service_times = ServiceTimes::default();
-        self.wait_ratio = 1.0;
+        self.wait_ratio = WaitRatio::default();
+        self.shortage = Shortage::default();
+    }
+
+    /// Whether more arrives than the slots serve, and has for some time.
+    #[must_use]
+    pub fn has_lasting_shortage(&self) -> bool {
+        self.shortage.is_lasting()
     }
 
     /// Returns the load that replies and gossip report.
@@ -479,7 +465,7 @@
         let wait = match length {
             Length::Short => wait,
             Length::Long => {
-                wait.mul_f64(self.wait_ratio / (1.0 - self.service_times.short_share()))
+                wait.mul_f64(self.wait_ratio.value() / (1.0 - self.service_times.short_share()))
             }
         };
         wait.max(self.limiter.wait(position, now))
--- a/crates/mesh/src/admission/service_times.rs
+++ b/crates/mesh/src/admission/service_times.rs
@@ -31,22 +31,37 @@
     Long,
 }
 
+/// Deviations above the mean within which nearly all requests end, as in the retransmission timeout of
+/// TCP.
+const DEVIATIONS: u32 = 4;
+
 /// Moving average of service times, which starts with an assumed one.
 #[derive(Debug, Clone, Copy, Default)]
 struct MeanTime {
     mean: Duration,
+    /// Mean absolute deviation from the mean.
+    deviation: Duration,
     samples: u32,
 }
 
 impl MeanTime {
     fn assumed(mean: Duration) -> Self {
-        Self { mean, samples: 0 }
+        Self {
+            mean,
+            ..Self::default()
+        }
     }
 
     fn record(&mut self, latest: Duration) {
         self.samples = self.samples.saturating_add(1);
         let inverse_weight = (self.samples + 1).min(SERVICE_TIME_INVERSE_WEIGHT);
-        self.mean = (self.mean * (inverse_weight - 1) + latest) / inverse_weight;
+        let average = |earlier: Duration, latest: Duration| {
+            (earlier * (inverse_weight - 1) + latest) / inverse_weight
+        };
+        if self.samples > 1 {
+            self.deviation = average(self.deviation, latest.abs_diff(self.mean));
+        }
+        self.mean = average(self.mean, latest);
     }
 }
 
@@ -99,6 +114,15 @@
             .map_or(self.overall.mean, |time| time.mean)
     }
 
+    /// Returns the service time that nearly all requests of a route stay below.
+    pub(super) fn upper_bound_of(&self, route: &RouteName) -> Duration {
+        let deviation = self
+            .by_route
+            .get(route)
+            .map_or(Duration::ZERO, |time| time.deviation);
+        self.of(route) + deviation * DEVIATIONS
+    }
+
     /// Returns the length of the route's requests relative to the others.
     pub(super) fn length_of(&self, route: &RouteName) -> Length {
         if self.of(route) * 1000 < self.overall.mean * SHORT_PERMILLE {
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -108,6 +108,7 @@
                         "queued": load.queued,
                         "slots": load.slots,
                         "kept": self.dispatcher.kept_slots(head.rank),
+                        "shortage_lasts": self.dispatcher.admission.borrow().has_lasting_shortage(),
                         "limit": self.dispatcher.limit().map(|limit| limit.to_string()),
                         "rank": head.rank,
                         "full_value_ms": head.full_value_ms,
