Admission: one arrival after a pause shows no lasting shortage

Cause: the share of arrivals that find no slot was weighted by the time since the arrival before, so that a single one after a pause of seconds counted as all of them. Change: at most 0.2 s count. Test: one_request_after_a_pause_shows_no_lasting_shortage, which failed before.

--- a/crates/mesh/src/admission/shortage.rs
+++ b/crates/mesh/src/admission/shortage.rs
@@ -12,6 +12,10 @@
 /// Time over which the share of arrivals is averaged: a burst that is shorter is absorbed.
 const AVERAGING_TIME: Duration = Duration::from_secs(1);
 
+/// Longest time since the arrival before that counts: one arrival after a pause does not tell how long a
+/// shortage has lasted.
+const MAX_GAP: Duration = Duration::from_millis(200);
+
 /// Share of arrivals without a free slot above which a shortage lasts.
 const BEGINS_ABOVE: f64 = 0.8;
 
@@ -34,6 +38,7 @@
             .last_arrival
             .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.last_arrival = Some(now);
+        let elapsed = elapsed.min(MAX_GAP);
         let weight = 1.0 - (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
         let latest = if must_wait { 1.0 } else { 0.0 };
         self.waiting_share += weight * (latest - self.waiting_share);
--- a/crates/mesh/src/tests/admission_replay/lasting_shortage.rs
+++ b/crates/mesh/src/tests/admission_replay/lasting_shortage.rs
@@ -1,5 +1,8 @@
 //! More work than the slots serve, for many seconds, as after the loss of instances.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use super::simulation::CFG;
 use super::simulation::Kind;
 use super::simulation::Outcome;
@@ -10,6 +13,8 @@
 use super::simulation::total;
 use crate::admission::AdmissionCfg;
 use crate::admission::AdmissionController;
+use crate::admission::AdmissionDecision;
+use crate::admission::AdmissionRequest;
 use crate::tests::former::admission::FormerController;
 
 const PAGE: Kind = Kind {
@@ -91,6 +96,31 @@
     assert!(now >= before - 0.01, "{before:.3} to {now:.3} in time");
 }
 
+/// A page that arrives at a time.
+fn page(key: u32, now: Instant) -> AdmissionRequest<u32> {
+    AdmissionRequest {
+        key,
+        route: PAGE.route.into(),
+        rank: PAGE.rank,
+        full_value_until: now + Duration::from_millis(PAGE.aim_ms),
+        deadline: now + Duration::from_millis(PAGE.budget_ms),
+        expected_service_time: Duration::from_millis(PAGE.work_ms),
+    }
+}
+
+#[test]
+fn one_request_after_a_pause_shows_no_lasting_shortage() {
+    let now = Instant::now();
+    let mut controller = AdmissionController::new(INSTANCE);
+    for key in 0..=INSTANCE.slots {
+        controller.offer(page(key, now), now);
+    }
+    let later = now + Duration::from_secs(3);
+    let decision = controller.offer(page(99, later), later);
+    assert_eq!(decision, AdmissionDecision::Queued);
+    assert!(!controller.has_lasting_shortage());
+}
+
 #[test]
 fn work_whose_aim_leaves_time_waits_as_before() {
     let patient = Kind {
