Admission: the length of a request is looked up once; a tighter check of its replay

Cause: the check for a likely late answer looked up the route's length again, which its caller had. Change: it is handed on; decisions are the same.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -122,7 +122,7 @@
         }
         let wait = self.expected_wait_at(place.position, rank, length, now);
         if !self.is_worth_waiting(&request, length, wait, now)
-            || self.is_likely_late(&request, place.position, wait, now)
+            || self.is_likely_late(&request, length, place.position, wait, now)
         {
             return AdmissionDecision::Refused(self.refusal_of(rank, now));
         }
@@ -185,13 +185,14 @@
     fn is_likely_late(
         &self,
         request: &AdmissionRequest<K>,
+        length: Length,
         position: usize,
         wait: Duration,
         now: Instant,
     ) -> bool {
         let times = &self.service_times;
         self.shortage.is_lasting()
-            && times.length_of(&request.route) == Length::Long
+            && length == Length::Long
             && wait > times.of(&request.route) / SHORT_WAIT_DIVISOR
             && self.limiter.wait(position, now).is_zero()
             && now + wait + times.upper_bound_of(&request.route) > request.full_value_until
--- a/crates/mesh/src/tests/admission_replay/lasting_shortage.rs
+++ b/crates/mesh/src/tests/admission_replay/lasting_shortage.rs
@@ -66,7 +66,7 @@
     for factor in [1.3, 2.0] {
         let [present, former] = overload(factor);
         let (now, before) = (present.in_time_share(), former.in_time_share());
-        assert!(now - before >= 0.03, "{before:.3} to {now:.3}");
+        assert!(now - before >= 0.04, "{before:.3} to {now:.3}");
         let (now, before) = (present.late, former.late);
         assert!(2 * now <= before, "{before} late to {now}");
         let (now, before) = (present.served_share(), former.served_share());
