--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -260,6 +260,9 @@
         if version > self.active_table.borrow().version() && !is_rejected {
             let announced = self.announced_config.get().max(version);
             self.announced_config.set(announced);
+            if self.config_pending_since.get().is_none() {
+                self.config_pending_since.set(Some(Instant::now()));
+            }
             self.config_source.set(Some(at));
         }
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -97,6 +97,8 @@
     pub config_source: Cell<Option<SocketAddr>>,
     /// Latest version of a configuration that a peer has announced.
     pub announced_config: Cell<ConfigVersion>,
+    /// When a later configuration than the one in force was announced first.
+    pub config_pending_since: Cell<Option<Instant>>,
     /// Version of a configuration that was rejected although it could be read.
     pub rejected_config: Cell<ConfigVersion>,
     pub read_requests: ReadRequests,
@@ -179,6 +181,7 @@
             compressed_config: RefCell::default(),
             config_source: Cell::new(None),
             announced_config: Cell::new(0),
+            config_pending_since: Cell::new(None),
             rejected_config: Cell::new(0),
             read_requests: ReadRequests::default(),
             knowledge: RefCell::new(Knowledge::new(rand::random())),
@@ -344,6 +347,7 @@
         let before = self.active_table.borrow().version();
         if self.active_table.borrow_mut().adopt(&cfg) == Adoption::Adopted {
             *self.compressed_config.borrow_mut() = compress();
+            let pending_since = self.config_pending_since.take();
             self.apply_cold_rate();
             if cfg.customers.is_some() {
                 self.balancer.borrow_mut().expect_uneven_load();
@@ -363,6 +367,7 @@
                     "before": before,
                     "routes": cfg.routes.len(),
                     "source": source,
+                    "pending_ms": pending_since.map(|since| since.elapsed().as_millis()),
                 })
             });
             let table = self.active_table.borrow().current().cloned();
--- a/crates/sidecar/src/peer_sync.rs
+++ b/crates/sidecar/src/peer_sync.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_edge::Request;
@@ -45,26 +46,33 @@
 
 impl Node {
     async fn fetch(&self, from: SocketAddr, path: &str) -> Option<Bytes> {
-        let log_failure = |reason: String| {
-            self.log_state(
-                "fetch-failed",
-                || json!({ "from": from, "path": path, "reason": reason }),
-            );
+        let asked_at = Instant::now();
+        let log_failure = |reason: String, conn_age: Option<Duration>| {
+            self.log_state("fetch-failed", || {
+                json!({
+                    "from": from,
+                    "path": path,
+                    "reason": reason,
+                    "waited_ms": asked_at.elapsed().as_millis(),
+                    "conn_age_ms": conn_age.map(|age| age.as_millis()),
+                })
+            });
         };
         let mut conn = match self.peer_conns.take(from).await {
             Ok(conn) => conn,
             Err(e) => {
-                log_failure(e.to_string());
+                log_failure(e.to_string(), None);
                 return None;
             }
         };
+        let conn_age = conn.opened_at().elapsed();
         match conn.call(Request::get(path), FETCH_TIMEOUT).await {
             Ok(res) => {
                 self.peer_conns.put(conn);
                 Some(res.body)
             }
             Err(e) => {
-                log_failure(e.to_string());
+                log_failure(e.to_string(), Some(conn_age));
                 None
             }
         }
