Tests that fail: configurations beside lost connections

A daemon that hears of a later configuration asks one announcer at a time, over a kept connection, and forgets the others: three whose connections went silent, or two that cannot be reached, take longer than the two seconds in which a configuration must be in force. The store's client takes the next silent connection of its pool after an unanswered call.

--- a/crates/sidecar/tests/end_to_end/fleet.rs
+++ b/crates/sidecar/tests/end_to_end/fleet.rs
@@ -244,7 +244,13 @@
     properties: &str,
     fields: &str,
 ) {
-    let text = format!(
+    let text = config_text(version, service, properties, fields);
+    append(store, "keyed.op", "config", text.as_bytes());
+}
+
+/// Returns a configuration as the operator writes it; see [`put_config_with`].
+pub fn config_text(version: u64, service: &str, properties: &str, fields: &str) -> String {
+    format!(
         r#"{{"Version":"r{version}","Routes":{{
 "look":{{"Hostname":"shop.example","PathPrefix":"/look/","Kind":"idempotent","Timeout":"1500ms","TargetLatency":"300ms","Priority":2,"Service":"{service}","Attempts":2}},
 "book":{{"Hostname":"shop.example","PathPrefix":"/book/","Kind":"non_idempotent","Timeout":"1500ms","TargetLatency":"300ms","Priority":1,"Service":"{service}","Attempts":2}},
@@ -252,8 +258,7 @@
 "open":{{"Hostname":"shop.example","PathPrefix":"/open/","Kind":"idempotent","Timeout":"1500ms","TargetLatency":"300ms","Priority":2,"Service":"{service}","Attempts":2,"Public":true}}}},
 "Services":{{"{service}":{properties},"spare":{{}}}},
 "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3s","IdleTimeout":"15s"}}{fields}}}"#
-    );
-    append(store, "keyed.op", "config", text.as_bytes());
+    )
 }
 
 /// Runs a test with a store and two machines: the first runs the service `catalogue`, the second
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -7,6 +7,7 @@
 mod customers;
 mod evacuation;
 mod fleet;
+mod lost_connections;
 mod notices;
 mod store;
 
