Configurations are fetched over new connections, from several announcers at once

The class is serial failover with a timeout near the whole bound, on connections that nobody has checked. mesh::config_sources now keeps all announcers, asks another one when there is no answer within 250 ms, three at once at most, and those that failed last; each over a new connection. Members are fetched by a task of their own, which no longer delays a configuration.

Both tests of lost_connections failed before and pass now; they have addresses of their own, which two tests of notices had too.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 pub mod config;
 pub mod config_check;
+pub mod config_sources;
 pub mod customers;
 pub mod directory;
 pub mod election;
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -9,6 +9,7 @@
 mod caps_fleet;
 mod cold;
 mod config_check;
+mod config_sources;
 mod customers;
 mod directory;
 mod election;
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -254,16 +254,13 @@
         }
     }
 
-    /// Marks a peer as the source to fetch from if its configuration is newer.
+    /// Marks a peer as one to fetch from if its configuration is newer.
     pub fn record_config_version(&self, version: mesh::ConfigVersion, at: SocketAddr) {
         let is_rejected = version == self.rejected_config.get();
         if version > self.active_table.borrow().version() && !is_rejected {
-            let announced = self.announced_config.get().max(version);
-            self.announced_config.set(announced);
-            if self.config_pending_since.get().is_none() {
-                self.config_pending_since.set(Some(Instant::now()));
-            }
-            self.config_source.set(Some(at));
+            self.config_sources
+                .borrow_mut()
+                .record(at, version, Instant::now());
         }
     }
 
--- a/crates/sidecar/src/identity.rs
+++ b/crates/sidecar/src/identity.rs
@@ -131,7 +131,7 @@
 
     /// Whether another daemon has announced a later configuration that is not here yet.
     fn is_config_pending(&self) -> bool {
-        self.announced_config.get() > self.active_table.borrow().version()
+        self.config_sources.borrow().announced() > self.active_table.borrow().version()
     }
 
     /// Returns why a request with a customer's key may not run now, if so. `config` is the version of the
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,6 +27,7 @@
 use mesh::canary::CanaryAnalysis;
 use mesh::config::RouteName;
 use mesh::config::UnknownKind;
+use mesh::config_sources::ConfigSources;
 use mesh::directory::Entry;
 use mesh::election::Claim;
 use mesh::election::Role;
@@ -93,12 +94,8 @@
     pub active_table: RefCell<ActiveTable>,
     /// The active configuration as read from the store, without the customers' keys, compressed for peers.
     pub compressed_config: RefCell<Bytes>,
-    /// Address of a peer that announced a later configuration.
-    pub config_source: Cell<Option<SocketAddr>>,
-    /// Latest version of a configuration that a peer has announced.
-    pub announced_config: Cell<ConfigVersion>,
-    /// When a later configuration than the one in force was announced first.
-    pub config_pending_since: Cell<Option<Instant>>,
+    /// Peers that announced a later configuration.
+    pub config_sources: RefCell<ConfigSources>,
     /// Version of a configuration that was rejected although it could be read.
     pub rejected_config: Cell<ConfigVersion>,
     pub read_requests: ReadRequests,
@@ -179,9 +176,7 @@
             incarnation: Cell::new(incarnation),
             active_table: RefCell::default(),
             compressed_config: RefCell::default(),
-            config_source: Cell::new(None),
-            announced_config: Cell::new(0),
-            config_pending_since: Cell::new(None),
+            config_sources: RefCell::default(),
             rejected_config: Cell::new(0),
             read_requests: ReadRequests::default(),
             knowledge: RefCell::new(Knowledge::new(rand::random())),
@@ -347,7 +342,10 @@
         let before = self.active_table.borrow().version();
         if self.active_table.borrow_mut().adopt(&cfg) == Adoption::Adopted {
             *self.compressed_config.borrow_mut() = compress();
-            let pending_since = self.config_pending_since.take();
+            let now = Instant::now();
+            let mut sources = self.config_sources.borrow_mut();
+            let pending = sources.record_adoption(cfg.version, now);
+            drop(sources);
             self.apply_cold_rate();
             if cfg.customers.is_some() {
                 self.balancer.borrow_mut().expect_uneven_load();
@@ -367,7 +365,7 @@
                     "before": before,
                     "routes": cfg.routes.len(),
                     "source": source,
-                    "pending_ms": pending_since.map(|since| since.elapsed().as_millis()),
+                    "pending_ms": pending.map(|pending| pending.as_millis()),
                 })
             });
             let table = self.active_table.borrow().current().cloned();
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -236,7 +236,8 @@
     monoio::spawn(gossip::receive(Rc::clone(node)));
     monoio::spawn(store_sync::follow_topic(Rc::clone(node), Topic::Operator));
     monoio::spawn(store_sync::follow_topic(Rc::clone(node), Topic::Mesh));
-    monoio::spawn(peer_sync::fetch_from_peers(Rc::clone(node)));
+    monoio::spawn(peer_sync::fetch_configs(Rc::clone(node)));
+    monoio::spawn(peer_sync::fetch_members(Rc::clone(node)));
     monoio::spawn(read_requests::read_for_others(Rc::clone(node)));
     monoio::spawn(knowledge::keep_proved(Rc::clone(node)));
     monoio::spawn(announce::announce(Rc::clone(node)));
