Figures of clients, instances and the operator are checked before a clock takes them

One header of one client (X-Deadline-Ms: 1e22) ended the daemon, and so did a heartbeat with a ColdLeft of 10^19 s and an order to move a service within as long, the latter at all daemons of the fleet and again at each start: "overflow when adding duration to instant", "number out of range".

The class is arithmetic on figures from outside that nobody bounded. Durations are bounded where they are decoded, at a century (base::units): what a client waits for and what the operator's store has accepted is capped, everything else is malformed. A heartbeat with more slots, a higher number or a later birth than an instance can have is malformed too; it would have made the sound ones that follow look old.

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -38,16 +38,43 @@
 
 impl std::error::Error for ParseError {}
 
+/// Longest duration that is taken from outside, a century. Any clock can add it to its time, and its milliseconds
+/// fit into 64 bits.
+pub const MAX_DURATION: Duration = Duration::from_hours(100 * 365 * 24);
+
 const DURATION_UNITS: &str = "us, ms, s, m, h, d";
 const SIZE_UNITS: &str = "B, KiB, MiB, GiB";
 
 /// Parses a duration such as `1.5ms`, `7s` or `2h`.
 ///
 /// # Errors
-/// When the number is missing or out of range, or the unit is missing or unknown.
+/// When the number is missing, the duration is above [`MAX_DURATION`], or the unit is missing or unknown.
 pub fn parse_duration(text: &str) -> Result<Duration, ParseError> {
+    let seconds = parse_seconds(text)?;
+    if seconds > MAX_DURATION.as_secs_f64() {
+        return Err(ParseError::Number(text.to_owned()));
+    }
+    capped_seconds(seconds).ok_or_else(|| ParseError::Number(text.to_owned()))
+}
+
+/// Returns a duration of this many seconds, at most [`MAX_DURATION`]; `None` unless that is a number from 0 on.
+#[must_use]
+pub fn capped_seconds(seconds: f64) -> Option<Duration> {
+    if !seconds.is_finite() {
+        return None;
+    }
+    Duration::try_from_secs_f64(seconds.min(MAX_DURATION.as_secs_f64())).ok()
+}
+
+/// Parses as [`parse_duration`], and returns [`MAX_DURATION`] for what is longer.
+fn parse_capped_duration(text: &str) -> Result<Duration, ParseError> {
+    let seconds = parse_seconds(text)?.min(MAX_DURATION.as_secs_f64());
+    capped_seconds(seconds).ok_or_else(|| ParseError::Number(text.to_owned()))
+}
+
+fn parse_seconds(text: &str) -> Result<f64, ParseError> {
     let (number, unit) = split_unit(text)?;
-    let seconds = match unit {
+    Ok(match unit {
         "us" => number / 1e6,
         "ms" => number / 1e3,
         "s" => number,
@@ -55,8 +82,7 @@
         "h" => number * 3600.0,
         "d" => number * 86_400.0,
         _ => return Err(ParseError::Unit(text.to_owned(), DURATION_UNITS)),
-    };
-    Duration::try_from_secs_f64(seconds).map_err(|_| ParseError::Number(text.to_owned()))
+    })
 }
 
 /// Formats a duration in whole seconds, milliseconds or microseconds.
@@ -143,6 +169,16 @@
     }
 }
 
+/// `serde_with` adapter: as [`Span`], but what is above [`MAX_DURATION`] becomes that, for texts that others have
+/// accepted already.
+pub struct CappedSpan;
+
+impl<'de> DeserializeAs<'de, Duration> for CappedSpan {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        deserialize_text(deserializer, parse_capped_duration)
+    }
+}
+
 /// `serde_with` adapter: a size in bytes as text with a unit, such as `64MiB`; written in `B`.
 pub struct Size;
 
--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -28,6 +28,26 @@
 /// heartbeat may arrive seconds late.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 
+/// Most slots that an instance may report; far above what one machine runs at once.
+const MAX_SLOTS: u32 = 65_536;
+
+/// Highest number of a heartbeat: one a second for a century.
+const MAX_SEQUENCE: u64 = 100 * 365 * 86_400;
+
+/// Longest time by which the clock of an instance may be ahead of that of its daemon, in milliseconds.
+const MAX_CLOCK_LEAD: UnixMillis = 24 * 3600 * 1000;
+
+/// Why a heartbeat cannot be that of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatFault {
+    /// It reports more slots than a machine has.
+    Slots,
+    /// No instance has sent so many heartbeats.
+    Sequence,
+    /// The incarnation began in the future.
+    Born,
+}
+
 /// One heartbeat, as decoded from the instance's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -60,6 +80,23 @@
             born: self.born,
         }
     }
+
+    /// Checks the figures, which would otherwise make all later heartbeats look older; `wall` is the time of day.
+    ///
+    /// # Errors
+    /// When one of them cannot be that of an instance.
+    pub fn check(&self, wall: UnixMillis) -> Result<(), HeartbeatFault> {
+        if self.slots > MAX_SLOTS {
+            return Err(HeartbeatFault::Slots);
+        }
+        if self.sequence > MAX_SEQUENCE {
+            return Err(HeartbeatFault::Sequence);
+        }
+        if self.born > wall.saturating_add(MAX_CLOCK_LEAD) {
+            return Err(HeartbeatFault::Born);
+        }
+        Ok(())
+    }
 }
 
 /// Whether an instance accepts new requests.
--- a/crates/mesh/src/order_clock.rs
+++ b/crates/mesh/src/order_clock.rs
@@ -41,7 +41,8 @@
 
 impl Known {
     fn now(self, now: Instant) -> Duration {
-        self.elapsed + now.saturating_duration_since(self.at)
+        self.elapsed
+            .saturating_add(now.saturating_duration_since(self.at))
     }
 
     fn raise(&mut self, elapsed: Duration, now: Instant) {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -2,7 +2,9 @@
 //! platform.
 
 use std::time::Instant;
+use std::time::SystemTime;
 
+use base::units::unix_millis;
 use http::StatusCode;
 use http_edge::Handler;
 use http_edge::Request;
@@ -61,6 +63,14 @@
             });
             return Response::text(StatusCode::BAD_REQUEST, "address of another machine");
         }
+        let wall = unix_millis(SystemTime::now());
+        if let Err(fault) = heartbeat.check(wall) {
+            self.log_state(
+                "heartbeat-unreadable",
+                || json!({ "instance": heartbeat.id, "reason": format!("{fault:?} out of range") }),
+            );
+            return Response::text(StatusCode::BAD_REQUEST, "unreadable heartbeat");
+        }
         let (slots, born, phase) = (heartbeat.slots, heartbeat.born, heartbeat.phase);
         let fields = json!({
             "instance": heartbeat.id,
--- a/crates/sidecar/src/members.rs
+++ b/crates/sidecar/src/members.rs
@@ -36,7 +36,7 @@
     /// records of this one.
     fn supersede_own_incarnation(&self, own: &Member) {
         if own.incarnation > self.incarnation.get() {
-            self.incarnation.set(own.incarnation + 1);
+            self.incarnation.set(own.incarnation.saturating_add(1));
             self.log_state("incarnation-raised", || json!({ "above": own.incarnation }));
         }
     }
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod lost_connections;
 mod notices;
+mod odd_input;
 mod store;
 
 use std::cell::Cell;
