A connection with the beginning of an unsolicited response is not used again

The check before a connection is used again reads from it and drops what it has read unless that is a whole head. The beginning of a response that nobody asked for was lost, the connection counted as idle, and the rest of those bytes came where the next response was due; a second head among them would have been taken for it. The decoder is now asked at the end of each response whether it holds further bytes, and each byte that the check reads counts.

Both tests failed before and pass now.

--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::task::Context;
+use std::task::Poll;
 use std::task::Waker;
 use std::time::Duration;
 use std::time::Instant;
@@ -52,6 +53,9 @@
 /// lost in the network.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// What the decoder returns next; `None` at the end of the connection.
+type NextHead = Option<Result<http::Response<Payload>, HttpError>>;
+
 /// An open connection; it carries one request at a time.
 pub struct Conn {
     encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
@@ -61,6 +65,8 @@
     peer: SocketAddr,
     opened_at: Instant,
     reuse: Reuse,
+    /// Whether something has been received that no request asked for.
+    has_stray_bytes: bool,
     /// Idle time after which the peer closes the connection, as its last response states.
     idle_timeout: Option<Duration>,
 }
@@ -103,6 +109,7 @@
             peer,
             opened_at: Instant::now(),
             reuse: Reuse::Allowed,
+            has_stray_bytes: false,
             idle_timeout: None,
         })
     }
@@ -122,7 +129,7 @@
     /// Whether another request may be sent on this connection.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
-        self.reuse == Reuse::Allowed
+        self.reuse == Reuse::Allowed && !self.has_stray_bytes
     }
 
     /// Idle time after which the peer closes the connection, as its last response states; `None` if it
@@ -133,12 +140,31 @@
     }
 
     /// Whether nothing has been received since the last response: neither the end of the
-    /// connection, nor an unsolicited response.
+    /// connection, nor a byte of an unsolicited response.
     pub fn is_idle(&mut self) -> bool {
+        self.has_stray_bytes = self.has_stray_bytes || self.receives_bytes();
+        !self.has_stray_bytes
+    }
+
+    /// Whether bytes came with the last response that do not belong to it.
+    fn holds_bytes(&mut self) -> bool {
+        self.budget.set_ends(true);
+        let is_empty = matches!(self.poll_next(), Poll::Ready(Some(None)));
+        self.budget.set_ends(false);
+        !is_empty
+    }
+
+    /// Whether bytes, or the end of the connection, have arrived since. What is read is lost if it is not a whole
+    /// head, so the connection must not be used any more then.
+    fn receives_bytes(&mut self) -> bool {
         self.budget.reset(self.limits.max_head_bytes);
+        self.poll_next().is_ready() || self.budget.remaining() < self.limits.max_head_bytes
+    }
+
+    fn poll_next(&mut self) -> Poll<Option<NextHead>> {
         let mut cx = Context::from_waker(Waker::noop());
         let next = pin!(catch_panic(self.decoder.next()));
-        next.poll(&mut cx).is_pending()
+        next.poll(&mut cx)
     }
 
     /// Sends a request and reads the whole response. After an error the connection is not
@@ -164,6 +190,7 @@
         // The head of such a response may declare a body, for which the decoder would wait.
         if !is_head && !is_bodiless(res.status) {
             self.reuse = reuse_after(&res);
+            self.has_stray_bytes = self.holds_bytes();
             self.idle_timeout = framing::keep_alive_timeout(&res.headers);
         }
         Ok(res)
--- a/crates/http-edge/src/limited.rs
+++ b/crates/http-edge/src/limited.rs
@@ -40,6 +40,8 @@
 pub(crate) struct ReadBudget {
     remaining: Rc<Cell<usize>>,
     refused: Rc<Cell<bool>>,
+    /// Whether reads end at once, as at the end of the connection.
+    ends: Rc<Cell<bool>>,
 }
 
 impl ReadBudget {
@@ -47,9 +49,21 @@
         Self {
             remaining: Rc::new(Cell::new(bytes)),
             refused: Rc::default(),
+            ends: Rc::default(),
         }
     }
 
+    /// Bytes that may still be read.
+    pub(crate) fn remaining(&self) -> usize {
+        self.remaining.get()
+    }
+
+    /// Makes reads end at once, or lets them reach the connection again. A decoder at the end of its input tells
+    /// whether it holds the beginning of a message.
+    pub(crate) fn set_ends(&self, ends: bool) {
+        self.ends.set(ends);
+    }
+
     pub(crate) fn reset(&self, bytes: usize) {
         self.remaining.set(bytes);
     }
@@ -86,6 +100,9 @@
 
 impl<IO: AsyncReadRent> AsyncReadRent for LimitedReader<IO> {
     async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if self.budget.ends.get() {
+            return (Ok(0), buf);
+        }
         if !self.budget.begin_read() {
             return (Err(io::ErrorKind::FileTooLarge.into()), buf);
         }
@@ -97,6 +114,9 @@
     }
 
     async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if self.budget.ends.get() {
+            return (Ok(0), buf);
+        }
         if !self.budget.begin_read() {
             return (Err(io::ErrorKind::FileTooLarge.into()), buf);
         }
--- a/crates/http-edge/src/tests/responses.rs
+++ b/crates/http-edge/src/tests/responses.rs
@@ -115,6 +115,52 @@
     });
 }
 
+/// A server may repeat an earlier response; its first bytes may come long before the others.
+#[test]
+fn connection_with_the_beginning_of_an_unsolicited_response_is_not_reused() {
+    let first = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+    let stray =
+        "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    for end in 1..=stray.len() {
+        let address = open_server(format!("{first}{}", &stray[..end]));
+        block_on(async {
+            let limits = Limits::default();
+            let mut conn = Conn::connect(address, TIMEOUT, limits).await.unwrap();
+            let res = conn.call(Request::get("/"), TIMEOUT).await.unwrap();
+            assert_eq!(res.body, "first");
+            assert!(!conn.is_idle(), "{:?}", &stray[..end]);
+        });
+    }
+}
+
+/// The same when the bytes come after the response, and between two checks.
+#[test]
+fn bytes_that_arrive_on_an_idle_connection_are_not_lost() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, rx) = std::sync::mpsc::channel::<&[u8]>();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]);
+        for bytes in rx {
+            let _ = stream.write_all(bytes);
+        }
+    });
+    block_on(async {
+        let limits = Limits::default();
+        let mut conn = Conn::connect(address, TIMEOUT, limits).await.unwrap();
+        tx.send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst")
+            .unwrap();
+        let res = conn.call(Request::get("/"), TIMEOUT).await.unwrap();
+        assert_eq!(res.body, "first");
+        assert!(conn.is_idle() && conn.is_idle());
+        tx.send(b"HTTP/1.1 2").unwrap();
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert!(!conn.is_idle());
+        assert!(!conn.is_idle());
+    });
+}
+
 /// Starts a server that answers the first bytes of each connection and keeps it open.
 fn open_server(response: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
