A refusal counts only for the request whose id it carries, and once

Clients were told 503, not run, for requests that an instance ran: a 421 was decided before the id was compared, a refusal without any id counted for whatever had been sent last, and a request that was sent to the same instance again took the copy of its first refusal on the kept connection for a new one.

A request that an instance has refused goes to it again over a new connection, since the id cannot tell a copy there.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -156,8 +156,7 @@
         if let Some(not_run) = self.key_refusal_here(head) {
             return Dispatched::without_answer(ForwardOutcome::NotRun(not_run));
         }
-        let address = self.dispatcher.instance.get();
-        let mut conn = match self.dispatcher.conns.take(address).await {
+        let mut conn = match self.dispatcher.connection_for(&head.request).await {
             Ok(conn) => conn,
             Err(e) => {
                 if self.local.borrow_mut().mark_unreachable() == Change::Told {
@@ -246,6 +245,7 @@
             .record_health(answer != InstanceResponse::Done);
         if answer == InstanceResponse::Mismatched {
             drop(conn);
+            self.log_mismatch(head, &res);
             return Dispatched::without_answer(ForwardOutcome::Unknown);
         }
         self.dispatcher.conns.put(conn);
@@ -254,10 +254,14 @@
         }
         match answer {
             InstanceResponse::NotRun => {
+                self.dispatcher.record_refusal(&head.request);
                 let not_run = self.dispatcher.not_run(NotRunReason::UpstreamRefused);
                 Dispatched::without_answer(ForwardOutcome::Rejected(not_run))
             }
-            InstanceResponse::Misdirected => self.refuse(NotRunReason::WrongVersion),
+            InstanceResponse::Misdirected => {
+                self.dispatcher.record_refusal(&head.request);
+                self.refuse(NotRunReason::WrongVersion)
+            }
             InstanceResponse::Mismatched => Dispatched::without_answer(ForwardOutcome::Unknown),
             InstanceResponse::Done | InstanceResponse::Failed => {
                 self.record_quarantine_answer(head.fingerprint);
@@ -277,6 +281,23 @@
         }
     }
 
+    /// Logs an answer that is not that of the request. What it says of the request's outcome counts for nothing.
+    fn log_mismatch(&self, head: &ForwardHead, res: &Response) {
+        self.event_log.emit(
+            EventClass::Failure,
+            "answer-mismatched",
+            Instant::now(),
+            || {
+                json!({
+                    "request": head.request,
+                    "instance": head.instance,
+                    "status": res.status.as_u16(),
+                    "answers": responses::echoed_id(res),
+                })
+            },
+        );
+    }
+
     /// Returns why a request of a customer may not be sent to the local instance now, if so.
     fn key_refusal_here(&self, head: &ForwardHead) -> Option<NotRun> {
         let customer = head.customer.as_ref()?;
--- a/crates/sidecar/src/dispatcher.rs
+++ b/crates/sidecar/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,6 +10,8 @@
 use base::FastMap;
 use base::FastSet;
 use base::UnixMillis;
+use http_edge::Conn;
+use http_edge::ConnectError;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
@@ -29,6 +32,7 @@
 use protocol::call::Load;
 use protocol::call::NotRun;
 use protocol::call::NotRunReason;
+use smol_str::SmolStr;
 
 use crate::evidence::RouteCounts;
 use crate::node::Node;
@@ -64,6 +68,34 @@
 
 pub(crate) type RequestKey = u64;
 
+/// Most refused requests that are remembered; a request is sent again within a second or not at all.
+const MAX_REFUSED: usize = 1024;
+
+/// Ids of the requests that were refused last.
+#[derive(Debug, Default)]
+struct RecentRefusals {
+    ids: FastSet<SmolStr>,
+    oldest_first: VecDeque<SmolStr>,
+}
+
+impl RecentRefusals {
+    fn contains(&self, id: &SmolStr) -> bool {
+        self.ids.contains(id)
+    }
+
+    fn record(&mut self, id: &SmolStr) {
+        if !self.ids.insert(id.clone()) {
+            return;
+        }
+        self.oldest_first.push_back(id.clone());
+        if self.oldest_first.len() > MAX_REFUSED
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+    }
+}
+
 /// Outcome for a queued request.
 pub(crate) enum WaitOutcome {
     Run,
@@ -78,6 +110,8 @@
     pub(crate) granted: RefCell<FastSet<RequestKey>>,
     pub(crate) last_key: Cell<RequestKey>,
     pub(crate) conns: Pool,
+    /// Requests that the instance refused lately.
+    refused: RefCell<RecentRefusals>,
     pub(crate) instance: Cell<SocketAddr>,
     pub(crate) counts: RefCell<RouteCounts>,
     pub(crate) health: RefCell<Health>,
@@ -110,6 +144,7 @@
             granted: RefCell::default(),
             last_key: Cell::new(0),
             conns: Pool::new(pool),
+            refused: RefCell::default(),
             instance: Cell::new(instance),
             counts: RefCell::default(),
             health: RefCell::default(),
@@ -161,6 +196,21 @@
         true
     }
 
+    /// Returns a connection for a request. One that the instance has refused before gets a new one: on the
+    /// connection of the refusal a copy of it would look like the answer.
+    pub(crate) async fn connection_for(&self, id: &SmolStr) -> Result<Conn, ConnectError> {
+        let address = self.instance.get();
+        if self.refused.borrow().contains(id) {
+            self.conns.connect_new(address).await
+        } else {
+            self.conns.take(address).await
+        }
+    }
+
+    pub(crate) fn record_refusal(&self, id: &SmolStr) {
+        self.refused.borrow_mut().record(id);
+    }
+
     /// Sends the instance a request of the daemon's own, which takes no slot; `req` gets its address.
     ///
     /// # Errors
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod customers;
 mod evacuation;
+mod faulty_instances;
 mod fleet;
 mod lost_connections;
 mod notices;
