Daemon: the connection of a refusal is closed

A booking ran at two upstreams: one that writes an earlier refusal once more on a kept connection made the daemon take it for the answer to the next call, which ran there, and the call was sent to another one.

--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -269,10 +269,12 @@
         let out = wire::upstream_request(req, head, left);
         match conn.call(out, left).await {
             Ok(res) => {
-                self.pool.put(conn);
                 if res.header(NOT_RUN_HEADER).is_some() {
+                    // Answers carry no id, so a copy of the refusal would count for the next call.
+                    conn.close();
                     return ForwardResult::NotRun(NotRunReason::UpstreamRefused);
                 }
+                self.pool.put(conn);
                 ForwardResult::Answered(res)
             }
             Err(e) => {
--- a/crates/daemon/src/tests.rs
+++ b/crates/daemon/src/tests.rs
@@ -3,6 +3,7 @@
 mod broadcaster;
 mod calls;
 mod fleet;
+mod refusals;
 mod relay;
 mod start;
 mod stop;
