Daemon: the time that another process states is bounded

A call or a question from another process with a remaining time that no clock holds ended the daemon. Bounded as the figures on the users' platform; the test failed before and passes now.

--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -9,6 +9,7 @@
 use base::RoutePrefix;
 use base::ServiceName;
 use base::VersionName;
+use base::units::MAX_DURATION;
 use http::StatusCode;
 use http_edge::Latch;
 use http_edge::Pool;
@@ -127,7 +128,7 @@
             log::info!("calls: refused a call without a readable call head");
             return Response::text(StatusCode::BAD_REQUEST, "no call head");
         };
-        let deadline = Instant::now() + head.remaining;
+        let deadline = Instant::now() + head.remaining.min(MAX_DURATION);
         if let Err(reason) = self.check(&head) {
             return self.refuse(&head.attempt, not_run(reason));
         }
@@ -163,7 +164,7 @@
             log::info!("calls: refused an unreadable resolve request");
             return Response::text(StatusCode::BAD_REQUEST, "no question");
         };
-        let deadline = Instant::now() + request.remaining;
+        let deadline = Instant::now() + request.remaining.min(MAX_DURATION);
         loop {
             if let Some(res) = self.resolution(&request) {
                 return res;
--- a/crates/daemon/src/tests/calls.rs
+++ b/crates/daemon/src/tests/calls.rs
@@ -12,10 +12,12 @@
 use protocol::call::AttemptId;
 use protocol::call::CALL_HEADER;
 use protocol::call::CALL_ID_HEADER;
+use protocol::call::CallHead;
 use protocol::call::Load;
 use protocol::call::OUTCOME_HEADER;
 use protocol::call::Outcome;
 use protocol::call::OutcomeHead;
+use protocol::call::ResolveRequest;
 use protocol::codec;
 use protocol::paths;
 use standin_upstream::Faults;
@@ -311,3 +313,47 @@
     check(paths::CALL);
     check(paths::RESOLVE);
 }
+
+/// Another process may send any time; the daemon answers, and goes on.
+#[test]
+fn times_between_daemons_that_no_clock_holds_end_no_daemon() {
+    block_on(async {
+        let fleet = Fleet::start();
+        let attempt = AttemptId {
+            caller: "caller".into(),
+            incarnation: 1,
+            sequence: 1,
+        };
+        let head = CallHead {
+            wire: protocol::WIRE_VERSION,
+            attempt: attempt.clone(),
+            call: "gown-1".into(),
+            service: "bookings".into(),
+            version: "v1".into(),
+            route: "/look".into(),
+            repeat: ledger::Idempotency::Idempotent,
+            class: ledger::TrafficClass::default(),
+            remaining: Duration::MAX,
+            offset: 0,
+        };
+        let call = Request::post(paths::CALL, "one gown")
+            .with_header(CALL_HEADER, codec::encode_header_value(&head))
+            .with_header(protocol::call::TARGET_HEADER, "/look?size=10");
+        let resolve = ResolveRequest {
+            attempt,
+            incarnation: fleet.near.shared.daemon_cfg.incarnation,
+            remaining: Duration::MAX,
+        };
+        let resolve = Request::post(paths::RESOLVE, codec::encode(&resolve));
+        for req in [call, resolve] {
+            let timeout = Duration::from_secs(30);
+            let limits = http_edge::Limits::default();
+            let peer = fleet.near.relay.address;
+            let conn = http_edge::Conn::connect(peer, timeout, limits).await;
+            let res = conn.unwrap().call(req, timeout).await.unwrap();
+            assert_eq!(res.status, http::StatusCode::OK);
+        }
+        let res = fleet.call("/book", "gown-2", SIZE).await;
+        assert_eq!(outcome_of(&res, "gown-2"), "answer");
+    });
+}
