--- a/crates/mesh/src/tests/config_sources.rs
+++ b/crates/mesh/src/tests/config_sources.rs
@@ -1,3 +1,5 @@
+//! Whom a daemon asks for a configuration that several others have announced.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
