Durations in messages of other processes are bounded where they are decoded

A record of a move in the daemons' own topic whose time no clock holds ended every daemon that read it, again at each start ("number out of range", in a log line). Times of moves, cold instances, calls and refusals are capped at a century when they are decoded, and counters that a record sets no longer overflow. The test of records with figures out of range failed before and passes now.

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serializer;
 use serde_with::DeserializeAs;
@@ -179,6 +180,28 @@
     }
 }
 
+/// Deserializes a duration as its type does; what is above [`MAX_DURATION`] becomes that. For messages of other
+/// processes.
+///
+/// # Errors
+/// Those of the format.
+pub fn deserialize_capped<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Duration, D::Error> {
+    Duration::deserialize(deserializer).map(|duration| duration.min(MAX_DURATION))
+}
+
+/// As [`deserialize_capped`], for a duration that may be missing.
+///
+/// # Errors
+/// Those of the format.
+pub fn deserialize_capped_option<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<Duration>, D::Error> {
+    let duration = Option::<Duration>::deserialize(deserializer)?;
+    Ok(duration.map(|duration| duration.min(MAX_DURATION)))
+}
+
 /// `serde_with` adapter: a size in bytes as text with a unit, such as `64MiB`; written in `B`.
 pub struct Size;
 
--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -9,7 +9,6 @@
 use base::RoutePrefix;
 use base::ServiceName;
 use base::VersionName;
-use base::units::MAX_DURATION;
 use http::StatusCode;
 use http_edge::Latch;
 use http_edge::Pool;
@@ -128,7 +127,7 @@
             log::info!("calls: refused a call without a readable call head");
             return Response::text(StatusCode::BAD_REQUEST, "no call head");
         };
-        let deadline = Instant::now() + head.remaining.min(MAX_DURATION);
+        let deadline = Instant::now() + head.remaining;
         if let Err(reason) = self.check(&head) {
             return self.refuse(&head.attempt, not_run(reason));
         }
@@ -164,7 +163,7 @@
             log::info!("calls: refused an unreadable resolve request");
             return Response::text(StatusCode::BAD_REQUEST, "no question");
         };
-        let deadline = Instant::now() + request.remaining.min(MAX_DURATION);
+        let deadline = Instant::now() + request.remaining;
         loop {
             if let Some(res) = self.resolution(&request) {
                 return res;
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -27,6 +27,7 @@
     /// Version that receives the traffic.
     pub target: VersionName,
     /// Time within which the move must complete.
+    #[serde(deserialize_with = "base::units::deserialize_capped")]
     pub within: Duration,
     /// Offset of the order in the operator's topic, or a higher number if the store's offsets went back;
     /// identifies the order, and a later one is higher.
@@ -50,7 +51,7 @@
     /// They change with the stage only.
     pub boosted: Vec<RouteName>,
     /// Time since the order, as the daemon that sent or stored the record had counted it.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "base::units::deserialize_capped")]
     pub elapsed: Duration,
 }
 
@@ -170,7 +171,7 @@
         Verdict::Bad => with_stage(Stage::RolledBack),
         Verdict::InsufficientData => with_stage(Stage::Sharing(current.max(FIRST_SHARE))),
         Verdict::Inconclusive if current > FIRST_SHARE => MoveRecord {
-            setbacks: record.setbacks + 1,
+            setbacks: record.setbacks.saturating_add(1),
             ..with_stage(Stage::Sharing(FIRST_SHARE))
         },
         Verdict::Inconclusive => record.clone(),
@@ -266,7 +267,7 @@
             return known.clone();
         }
         MoveOrder {
-            offset: known.offset + 1,
+            offset: known.offset.saturating_add(1),
             ..order
         }
     }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -89,6 +89,7 @@
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Remaining time of its slow phase after the start, from the time of this announcement.
+    #[serde(deserialize_with = "base::units::deserialize_capped")]
     pub cold_left: Duration,
 }
 
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -72,6 +72,7 @@
     /// Priority class of the call.
     pub class: TrafficClass,
     /// Remaining time of the call when the attempt was sent.
+    #[serde(deserialize_with = "base::units::deserialize_capped")]
     pub remaining: Duration,
     /// Log offset of the configuration that the caller side used.
     pub offset: Offset,
@@ -96,6 +97,7 @@
     /// Why the attempt did not begin.
     pub reason: NotRunReason,
     /// Delay after which another attempt may succeed; `None` without an estimate.
+    #[serde(deserialize_with = "base::units::deserialize_capped_option")]
     pub retry_after: Option<Duration>,
 }
 
@@ -172,5 +174,6 @@
     /// restarted meanwhile has lost its record of the attempt and cannot tell whether it ran.
     pub incarnation: Incarnation,
     /// Longest time that the upstream side waits for the attempt to end before it replies.
+    #[serde(deserialize_with = "base::units::deserialize_capped")]
     pub remaining: Duration,
 }
--- a/crates/sidecar/src/announce.rs
+++ b/crates/sidecar/src/announce.rs
@@ -218,7 +218,7 @@
             return;
         }
         let member = Member {
-            revision: revision + 1,
+            revision: revision.saturating_add(1),
             ..current
         };
         let mut directory = self.directory.borrow_mut();
--- a/crates/sidecar/tests/end_to_end/odd_input.rs
+++ b/crates/sidecar/tests/end_to_end/odd_input.rs
@@ -4,6 +4,13 @@
 
 use http::StatusCode;
 use http_edge::Request;
+use mesh::moves::MoveOrder;
+use mesh::moves::MoveRecord;
+use mesh::moves::Stage;
+use mesh::wire::InstanceInfo;
+use mesh::wire::Member;
+use mesh::wire::Record;
+use protocol::codec;
 
 use crate::common::HEARTBEATS;
 use crate::common::INSTANCE;
@@ -177,3 +184,61 @@
         (front, back)
     });
 }
+
+/// Records that can be read, with figures that no daemon has written.
+#[test]
+fn records_of_the_daemons_with_figures_out_of_range_end_no_daemon() {
+    with_fleet(100, |store, front, back| async move {
+        wait_for_instance(&front).await;
+        let member = |daemon: &str| Member {
+            daemon: daemon.into(),
+            incarnation: u64::MAX,
+            revision: u64::MAX,
+            address: "127.7.100.9:1".parse().expect("an address"),
+            zone: "suva-a".into(),
+            instance: Some(InstanceInfo {
+                id: "odd".into(),
+                born: u64::MAX,
+                service: "spare".into(),
+                version: "v1".into(),
+                slots: u32::MAX,
+                cold_left: Duration::MAX,
+            }),
+            leaving: None,
+            is_open: true,
+            strength: u32::MAX,
+            link_mbps: u32::MAX,
+        };
+        let order = MoveOrder {
+            service: "bookings".into(),
+            target: "v1".into(),
+            within: Duration::MAX,
+            offset: 7,
+        };
+        let move_record = MoveRecord {
+            order,
+            began: u64::MAX,
+            stage: Stage::Sharing(u16::MAX),
+            setbacks: u32::MAX,
+            is_settled: false,
+            boosted: vec!["look".into()],
+            elapsed: Duration::MAX,
+        };
+        for (key, record) in [
+            ("member/odd", Record::Member(member("odd"))),
+            ("member/machine-2", Record::Member(member("machine-2"))),
+            ("move/bookings", Record::Move(move_record)),
+        ] {
+            append(&store, "keyed.mesh", key, &codec::encode(&record));
+        }
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        assert_serves(&front, "odd-figures").await;
+        let text = config_text(9, "bookings", "{}", "");
+        append(&store, "keyed.op", "config", text.as_bytes());
+        wait_until("the configuration is in force", || {
+            front.daemon.config_version() == 9 && back.daemon.config_version() == 9
+        })
+        .await;
+        (front, back)
+    });
+}
