An announcer that has answered is asked again at once

In a storm a leader announces the next configuration while its last one is fetched; it counted as failed then, and was asked again only after its next announcement, up to 250 ms later.

--- a/crates/mesh/src/config_sources.rs
+++ b/crates/mesh/src/config_sources.rs
@@ -28,6 +28,15 @@
     Wait,
 }
 
+/// How a fetch from an announcer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchEnd {
+    /// It brought a later configuration than the one in force.
+    Adopted,
+    /// It brought none.
+    Failed,
+}
+
 /// State of one announcer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Standing {
@@ -119,12 +128,18 @@
         NextFetch::Ask(announcer.address)
     }
 
-    /// Records that an announcer that was asked has answered, or that the fetch failed.
-    pub fn record_end(&mut self, address: SocketAddr, in_force: ConfigVersion) {
+    /// Records how a fetch ended. An announcer that has answered can be asked again at once, since it may have
+    /// announced a yet later configuration meanwhile.
+    pub fn record_end(&mut self, address: SocketAddr, end: FetchEnd, in_force: ConfigVersion) {
         let asked = self.announcers.iter_mut().find(|a| a.address == address);
         if let Some(announcer) = asked {
-            announcer.standing = Standing::Failed;
-            announcer.failures = announcer.failures.saturating_add(1);
+            match end {
+                FetchEnd::Adopted => announcer.standing = Standing::Ready,
+                FetchEnd::Failed => {
+                    announcer.standing = Standing::Failed;
+                    announcer.failures = announcer.failures.saturating_add(1);
+                }
+            }
         }
         self.announcers
             .retain(|announcer| announcer.version > in_force);
--- a/crates/sidecar/src/peer_sync.rs
+++ b/crates/sidecar/src/peer_sync.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http_edge::Request;
+use mesh::config_sources::FetchEnd;
 use mesh::config_sources::NextFetch;
 use mesh::wire::Member;
 use protocol::codec;
@@ -38,6 +39,7 @@
 }
 
 async fn fetch_config(node: SharedNode, from: SocketAddr) {
+    let before = node.active_table.borrow().version();
     let compressed = node.fetch(from, CONFIG_PATH).await;
     if let Some(compressed) = compressed.filter(|bytes| !bytes.is_empty()) {
         match compression::decompress_config(&compressed) {
@@ -49,7 +51,13 @@
         }
     }
     let in_force = node.active_table.borrow().version();
-    node.config_sources.borrow_mut().record_end(from, in_force);
+    let end = if in_force > before {
+        FetchEnd::Adopted
+    } else {
+        FetchEnd::Failed
+    };
+    let mut sources = node.config_sources.borrow_mut();
+    sources.record_end(from, end, in_force);
 }
 
 /// Fetches the members from peers that know of ones that this daemon lacks. Runs until the process ends.
