Soak: odd figures, repeated refusals, and daemons that end by themselves

The soak started a daemon anew whatever had ended it, and did not say when one had ended by itself; that is a violation now. Its instances send heartbeats with figures that no instance has and refusals of other requests in place of answers while they fail, and its clients state deadlines that no clock holds.

--- a/crates/sidecar/tests/end_to_end/odd_input.rs
+++ b/crates/sidecar/tests/end_to_end/odd_input.rs
@@ -188,13 +188,13 @@
 /// Records that can be read, with figures that no daemon has written.
 #[test]
 fn records_of_the_daemons_with_figures_out_of_range_end_no_daemon() {
-    with_fleet(100, |store, front, back| async move {
+    with_fleet(101, |store, front, back| async move {
         wait_for_instance(&front).await;
         let member = |daemon: &str| Member {
             daemon: daemon.into(),
             incarnation: u64::MAX,
             revision: u64::MAX,
-            address: "127.7.100.9:1".parse().expect("an address"),
+            address: "127.7.101.9:1".parse().expect("an address"),
             zone: "suva-a".into(),
             instance: Some(InstanceInfo {
                 id: "odd".into(),
--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -21,6 +21,9 @@
 use crate::soak::machine::Machine;
 use crate::soak::wire;
 
+/// Requests of a client after which one states a deadline that no clock holds.
+const ODD_DEADLINE_INTERVAL: u64 = 17;
+
 /// Time that a client waits for a response; sent as the deadline of the request.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -88,7 +91,10 @@
             count += 1;
             let id = format!("{number}-{count}");
             let (method, path) = draw_request(&mut rng, count);
-            let req = wire::request(method, &path, &id, CLIENT_TIMEOUT);
+            let mut req = wire::request(method, &path, &id, CLIENT_TIMEOUT);
+            if count.is_multiple_of(ODD_DEADLINE_INTERVAL) {
+                req = req.with_header("x-deadline-ms", "1e22");
+            }
             let sent = Instant::now();
             self.shared
                 .notices
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -51,7 +51,8 @@
     Good,
     /// Runs requests, but sends no response to some.
     LosesResponses,
-    /// Fails or rejects some requests, and sends some responses with the id of another request.
+    /// Fails or rejects some requests, sends some responses and refusals with the id of another request or
+    /// none, and heartbeats with figures that no instance has.
     Fails,
 }
 
@@ -184,6 +185,10 @@
             self.sequence.get(),
             self.started_at_ms.get(),
         );
+        if self.behaviour.get() == Behaviour::Fails {
+            let odd = wire::odd_heartbeat(self.service, self.address, self.sequence.get());
+            self.send(&wire::heartbeat_path(&name), odd).await;
+        }
         let is_acknowledged = self.send(&wire::heartbeat_path(&name), body).await;
         if is_acknowledged && let Phase::Draining { acknowledged } = &mut *self.phase.borrow_mut() {
             acknowledged.get_or_insert_with(Instant::now);
@@ -336,6 +341,24 @@
             let res = answer(StatusCode::OK, wire::body_of("other"));
             return res.with_header(wire::REQUEST_ID, "other");
         }
+        if behaviour == Behaviour::Fails && draw < 80 {
+            return repeated_refusal(draw);
+        }
         answer(StatusCode::OK, wire::body_of(&id)).with_header(wire::RESPONSE_STAMP, &id)
     }
 }
+
+/// Returns a refusal of an earlier request, in place of the answer to one that ran.
+fn repeated_refusal(draw: u32) -> Response {
+    let status = if draw.is_multiple_of(2) {
+        StatusCode::MISDIRECTED_REQUEST
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let refusal = wire::not_executed(Response::new(status, Vec::new()));
+    if draw < 75 {
+        refusal.with_header(wire::REQUEST_ID, "other")
+    } else {
+        refusal
+    }
+}
--- a/xtask/src/soak/machine.rs
+++ b/xtask/src/soak/machine.rs
@@ -206,6 +206,17 @@
         Ok(Some(since.elapsed()))
     }
 
+    /// Starts a new process if the present one has ended by itself; returns whether it had.
+    pub fn restart_if_ended(&self) -> Result<bool> {
+        let has_ended = |process: &mut Process| process.exit_status().is_some();
+        let has_ended = self.process.borrow_mut().as_mut().is_some_and(has_ended);
+        if has_ended {
+            self.undisturbed_since.set(None);
+            self.start()?;
+        }
+        Ok(has_ended)
+    }
+
     /// Returns whether the daemon reports that it is ready.
     pub async fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip, wire::READY_PORT);
--- a/xtask/src/soak/wire.rs
+++ b/xtask/src/soak/wire.rs
@@ -103,6 +103,19 @@
     .to_string()
 }
 
+/// Returns a heartbeat with a figure that no instance has; `turn` picks which.
+pub fn odd_heartbeat(service: &str, address: SocketAddr, turn: u64) -> String {
+    let (cold_left, slots, sequence, born) = match turn % 4 {
+        0 => ("9999999999999999999s", "8", "9", "7"),
+        1 => ("0ms", "4294967295", "9", "7"),
+        2 => ("0ms", "8", "18446744073709551615", "7"),
+        _ => ("0ms", "8", "9", "18446744073709551615"),
+    };
+    format!(
+        r#"{{"Service":"{service}","Version":"v1","Address":"{address}","Zone":"z","Slots":{slots},"State":"ready","ColdLeft":"{cold_left}","Seq":{sequence},"born":{born}}}"#
+    )
+}
+
 /// Returns the path of the heartbeats of an instance.
 pub fn heartbeat_path(name: &str) -> String {
     format!("/-/Instances.Heartbeat/{name}")
