--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::error::TaskError;
 use crate::soak::checker::Probe;
 use crate::soak::instance::Shared;
 use crate::soak::machine::Machine;
@@ -112,6 +113,17 @@
         }
     }
 
+    /// Records each daemon that has ended by itself, and starts it again.
+    pub fn check_processes(&self) -> Result<(), TaskError> {
+        for machine in &self.machines {
+            if machine.restart_if_ended()? {
+                let mut checker = self.shared.checker.borrow_mut();
+                checker.add_violation(format!("daemon {} ended by itself", machine.number));
+            }
+        }
+        Ok(())
+    }
+
     fn record_statement(&self, id: &str, res: &Response) {
         if let Some((instance, stated)) = wire::stated(res) {
             let mut notices = self.shared.notices.borrow_mut();
--- a/xtask/src/soak/runner.rs
+++ b/xtask/src/soak/runner.rs
@@ -220,7 +220,7 @@
         for step in steps {
             while since.elapsed() < step.at {
                 interrupt.check()?;
-                self.check_processes()?;
+                self.clients.check_processes()?;
                 monoio::time::sleep(POLL_INTERVAL).await;
             }
             self.apply(step.action)?;
@@ -228,17 +228,6 @@
         Ok(())
     }
 
-    /// Records each daemon that has ended by itself, and starts it again.
-    fn check_processes(&self) -> Result<()> {
-        for machine in &self.clients.machines {
-            if machine.restart_if_ended()? {
-                let mut checker = self.clients.shared.checker.borrow_mut();
-                checker.add_violation(format!("daemon {} ended by itself", machine.number));
-            }
-        }
-        Ok(())
-    }
-
     fn note_fault_for(&self, time: Duration) {
         let mut checker = self.clients.shared.checker.borrow_mut();
         checker.note_fault(Instant::now() + time);
