--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -342,10 +342,10 @@
         let before = self.active_table.borrow().version();
         if self.active_table.borrow_mut().adopt(&cfg) == Adoption::Adopted {
             *self.compressed_config.borrow_mut() = compress();
-            let now = Instant::now();
-            let mut sources = self.config_sources.borrow_mut();
-            let pending = sources.record_adoption(cfg.version, now);
-            drop(sources);
+            let pending = self
+                .config_sources
+                .borrow_mut()
+                .record_adoption(cfg.version, Instant::now());
             self.apply_cold_rate();
             if cfg.customers.is_some() {
                 self.balancer.borrow_mut().expect_uneven_load();
