Review case 2: kill 0.2 s after the acknowledgement

Cause: a tenth of a second is a narrow window, and the fault does not need one. Change: the delay is 0.2 s, and can be set.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,8 @@
 STABLE_WINDOW = 3.0
 HOST, PATH = "shop.example", "/hold/"
 WORK = 0.29
+# Seconds from the acknowledgement to the kill.
+KILL_AFTER = float(os.environ.get("KILL_AFTER", "0.2"))
 
 
 async def case(world):
@@ -39,7 +41,7 @@
     server.state = "draining"
     world.record.say("server", server.id, "has left: acknowledged")
     if world.trouble:
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(KILL_AFTER)
         daemon.kill()
         await asyncio.sleep(0.5)
         daemon.start()
