--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -501,6 +501,7 @@
         print("cannot run:", e)
         sys.exit(2)
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(asyncio.wait_for(case(world), limit))
         code = 0 if held else 1
