Acknowledge a departure only once the store holds it

What callers saw: an instance had said that it leaves and had got its acknowledgement. Its daemon was killed 0.2 s later, and the new process sent the instance requests again, for three heartbeat intervals.

Cause: the acknowledgement was given from memory. The store learned of it with the next announcement, up to a second later, and the announcement is soft state: the first leader of a zone may write an older one over it. A new process took whatever announcement it found for the truth, began to count heartbeats anew, and acknowledged calls of instances that it did not know, without effect.

Change: a departure is a record of its own, under a key that only its daemon writes. The call is answered with 200 once the store holds it, and with 503 after 0.9 s otherwise, so that nobody is bound by it; new requests end at once either way. If the store does not answer the daemon within 150 ms or refuses it, two peers write the record too. A new process serves what it took over only after it has read the departures; without the store, two heartbeats that lie half an interval apart must show that the instance stays. A deregistration of an unknown instance is stored as one of all its incarnations until then.

Why it works: whatever was acknowledged is read by each later process before it sends the first request, also when no process is left that knew of it.

Tests of the state without a network: mesh::departures. The checks of mesh::instance are the same; they now say that the store has been read.

--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::departures::Departures;
 use crate::wire::InstanceInfo;
 
 /// Identifier that an instance assigns to itself.
@@ -34,6 +35,10 @@
 /// Highest number of a heartbeat: one a second for a century.
 const MAX_SEQUENCE: u64 = 100 * 365 * 86_400;
 
+/// Part of the heartbeat interval that must lie between two heartbeats for the second to confirm the first:
+/// half of it, as heartbeats do not arrive on the dot.
+const CONFIRMATION_DIVISOR: u32 = 2;
+
 /// Longest time by which the clock of an instance may be ahead of that of its daemon, in milliseconds.
 const MAX_CLOCK_LEAD: UnixMillis = 24 * 3600 * 1000;
 
@@ -124,54 +129,51 @@
 #[derive(Debug, Default)]
 pub struct LocalInstance {
     current: Option<InstanceState>,
-    /// Incarnation that an earlier process of this daemon knew to be leaving.
-    known_leaving: Option<InstanceKey>,
+    departures: Departures,
 }
 
 #[derive(Debug)]
 struct InstanceState {
     heartbeat: Heartbeat,
+    /// When the first heartbeat arrived; `None` for an instance that was taken over.
+    first_heard: Option<Instant>,
     last_heard: Instant,
-    has_left: bool,
     is_unreachable: bool,
 }
 
 impl LocalInstance {
     /// Applies a heartbeat. One of an older incarnation, or not newer than the last one, is
     /// ignored.
-    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Instant) -> Change {
-        if self.known_leaving.as_ref() == Some(&heartbeat.key()) {
-            heartbeat.phase = Phase::Draining;
-        }
+    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> Change {
+        let key = heartbeat.key();
+        let was_leaving = self.departures.contains(&key);
+        // Draining is final for an incarnation: a ready heartbeat that follows was sent
+        // concurrently.
+        let is_news = heartbeat.phase == Phase::Draining && !was_leaving;
         let Some(state) = &mut self.current else {
-            self.current = Some(InstanceState::new(heartbeat, now));
-            return Change::Told;
+            return self.replace(heartbeat, is_news, now);
         };
         let old = &state.heartbeat;
         if heartbeat.born < old.born {
             return Change::Ignored;
         }
-        let is_same = heartbeat.born == old.born && heartbeat.id == old.id;
-        if !is_same {
-            self.current = Some(InstanceState::new(heartbeat, now));
-            return Change::Told;
+        if key != old.key() {
+            return self.replace(heartbeat, is_news, now);
         }
         if heartbeat.sequence <= old.sequence {
             return Change::Ignored;
         }
-        // Draining is final for an incarnation: a ready heartbeat that follows was sent
-        // concurrently.
         let must_tell = state.is_unreachable
-            || (old.phase == Phase::Ready && heartbeat.phase == Phase::Draining)
+            || is_news
             || old.slots != heartbeat.slots
             || old.version != heartbeat.version;
-        let phase = match old.phase {
-            Phase::Draining => Phase::Draining,
-            Phase::Ready => heartbeat.phase,
-        };
-        state.heartbeat = Heartbeat { phase, ..heartbeat };
+        state.heartbeat = heartbeat;
+        state.first_heard.get_or_insert(now);
         state.last_heard = now;
         state.is_unreachable = false;
+        if is_news {
+            self.departures.record(key);
+        }
         if must_tell {
             Change::Told
         } else {
@@ -179,11 +181,24 @@
         }
     }
 
+    fn replace(&mut self, heartbeat: Heartbeat, is_departure: bool, now: Instant) -> Change {
+        if is_departure {
+            self.departures.record(heartbeat.key());
+        }
+        self.current = Some(InstanceState {
+            heartbeat,
+            first_heard: Some(now),
+            last_heard: now,
+            is_unreachable: false,
+        });
+        Change::Told
+    }
+
     /// Takes an instance over from the announcement of an earlier process of this daemon, until the
     /// instance sends a heartbeat. Only its id is trusted: another instance at the same address
     /// rejects requests that name it.
     pub fn restore(&mut self, info: &InstanceInfo, address: SmolStr, now: Instant) -> Change {
-        if self.current.is_some() || self.known_leaving.as_ref() == Some(&info.key()) {
+        if self.current.is_some() || self.departures.contains(&info.key()) {
             return Change::Ignored;
         }
         let heartbeat = Heartbeat {
@@ -197,53 +212,91 @@
             phase: Phase::Ready,
             cold_left: Duration::ZERO,
         };
-        self.current = Some(InstanceState::new(heartbeat, now));
+        self.current = Some(InstanceState {
+            heartbeat,
+            first_heard: None,
+            last_heard: now,
+            is_unreachable: false,
+        });
         Change::Told
     }
 
     /// Takes over from the announcement of an earlier process of this daemon which incarnation of the
     /// instance is leaving.
     pub fn restore_leaving(&mut self, key: InstanceKey) -> Change {
-        let change = self.mark_draining(&key);
-        self.known_leaving = Some(key);
-        change
+        self.depart(key, Departures::record)
+    }
+
+    /// Takes over a departure that the store holds.
+    pub fn restore_departure(&mut self, key: InstanceKey) -> Change {
+        self.depart(key, Departures::restore)
     }
 
     /// Records that an incarnation of the instance says that it is leaving; its heartbeats need not say
     /// so.
     pub fn mark_draining(&mut self, key: &InstanceKey) -> Change {
-        match &mut self.current {
-            Some(state)
-                if state.heartbeat.key() == *key && state.heartbeat.phase == Phase::Ready =>
-            {
-                state.heartbeat.phase = Phase::Draining;
-                Change::Told
+        match &self.current {
+            Some(state) if state.heartbeat.key() == *key => {
+                self.depart(key.clone(), Departures::record)
             }
             _ => Change::Ignored,
         }
     }
 
+    /// Records that an instance deregistered itself, and returns which incarnations of it have left. The
+    /// call does not state when the instance was born; `wall` is the time of day.
+    pub fn mark_left(&mut self, id: &str, wall: UnixMillis) -> (InstanceKey, Change) {
+        let born = match &self.current {
+            Some(state) if state.heartbeat.id == id && state.first_heard.is_some() => {
+                state.heartbeat.born
+            }
+            // A later incarnation than the one that was taken over may have sent the call.
+            Some(state) if state.heartbeat.id == id => state.heartbeat.born.max(wall),
+            _ => wall,
+        };
+        let key = InstanceKey {
+            id: id.into(),
+            born,
+        };
+        let change = self.depart(key.clone(), Departures::record);
+        (key, change)
+    }
+
+    fn depart(&mut self, key: InstanceKey, record: fn(&mut Departures, InstanceKey)) -> Change {
+        let was_leaving = self.is_leaving();
+        record(&mut self.departures, key);
+        if self.is_leaving() && !was_leaving {
+            Change::Told
+        } else {
+            Change::Ignored
+        }
+    }
+
+    /// Whether the instance is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        let heartbeat = self.last_heartbeat();
+        heartbeat.is_some_and(|heartbeat| self.departures.contains(&heartbeat.key()))
+    }
+
     /// Returns the incarnation of the instance that is leaving; `None` if it is not.
     #[must_use]
     pub fn leaving(&self) -> Option<InstanceKey> {
-        match &self.current {
-            Some(state) if state.has_left || state.heartbeat.phase == Phase::Draining => {
-                Some(state.heartbeat.key())
-            }
-            Some(_) => None,
-            None => self.known_leaving.clone(),
+        match self.last_heartbeat() {
+            Some(heartbeat) => self.is_leaving().then(|| heartbeat.key()),
+            None => self.departures.newest().cloned(),
         }
     }
 
-    /// Records that the instance deregistered itself.
-    pub fn mark_left(&mut self, id: &str) -> Change {
-        match &mut self.current {
-            Some(state) if state.heartbeat.id == id && !state.has_left => {
-                state.has_left = true;
-                Change::Told
-            }
-            _ => Change::Ignored,
-        }
+    /// Returns the incarnations of the instance that said that they leave.
+    #[must_use]
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
+    /// Returns the same for changes to what the store is known to hold.
+    pub fn departures_mut(&mut self) -> &mut Departures {
+        &mut self.departures
     }
 
     /// Records that no connection to the instance can be opened; its next heartbeat clears this.
@@ -263,27 +316,26 @@
         self.current.as_ref().map(|state| &state.heartbeat)
     }
 
-    /// Returns the last heartbeat if the instance accepts new requests: it is ready and reachable,
-    /// has not left, and its heartbeats are not overdue.
+    /// Returns the last heartbeat if the instance accepts new requests: it is reachable and not leaving,
+    /// its heartbeats are not overdue, and no earlier process can have acknowledged that it leaves.
     #[must_use]
     pub fn serving(&self, heartbeat_interval: Duration, now: Instant) -> Option<&Heartbeat> {
         let state = self.current.as_ref()?;
         let since_last_heard = now.saturating_duration_since(state.last_heard);
-        let is_serving = state.heartbeat.phase == Phase::Ready
-            && !state.has_left
+        let is_serving = !self.is_leaving()
             && !state.is_unreachable
-            && since_last_heard <= heartbeat_interval * MAX_MISSED_HEARTBEATS;
+            && since_last_heard <= heartbeat_interval * MAX_MISSED_HEARTBEATS
+            && (self.departures.has_read_store() || state.is_confirmed(heartbeat_interval));
         is_serving.then_some(&state.heartbeat)
     }
 }
 
 impl InstanceState {
-    fn new(heartbeat: Heartbeat, last_heard: Instant) -> Self {
-        Self {
-            heartbeat,
-            last_heard,
-            has_left: false,
-            is_unreachable: false,
-        }
+    /// Whether heartbeats alone show that the instance stays. A single one may have been delayed until after
+    /// an earlier process acknowledged the departure.
+    fn is_confirmed(&self, heartbeat_interval: Duration) -> bool {
+        let confirmed_by = heartbeat_interval / CONFIRMATION_DIVISOR;
+        self.first_heard
+            .is_some_and(|first| self.last_heard.saturating_duration_since(first) >= confirmed_by)
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config_check;
 pub mod config_sources;
 pub mod customers;
+pub mod departures;
 pub mod directory;
 pub mod election;
 pub mod evacuation;
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -11,6 +11,7 @@
 mod config_check;
 mod config_sources;
 mod customers;
+mod departures;
 mod directory;
 mod election;
 mod evacuation;
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use base::UnixMillis;
 use smol_str::SmolStr;
 
 use crate::directory::Directory;
@@ -17,6 +18,9 @@
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Time of day of calls that state none.
+const WALL: UnixMillis = 1000;
+
 fn heartbeat(born: u64, sequence: u64, phase: Phase) -> Heartbeat {
     Heartbeat {
         id: "i-1".into(),
@@ -31,10 +35,17 @@
     }
 }
 
+/// Returns the state of a process that knows what earlier ones acknowledged.
+fn informed() -> LocalInstance {
+    let mut local = LocalInstance::default();
+    local.departures_mut().record_read();
+    local
+}
+
 #[test]
 fn outdated_heartbeats_are_ignored() {
     let now = Instant::now();
-    let mut local = LocalInstance::default();
+    let mut local = informed();
     let mut check = |born, sequence, phase, expected| {
         let change = local.record_heartbeat(heartbeat(born, sequence, phase), now);
         assert_eq!(change, expected, "{born} {sequence}");
@@ -56,7 +67,7 @@
 fn silent_departed_or_unreachable_instance_is_not_serving() {
     let now = Instant::now();
     let fresh = || {
-        let mut local = LocalInstance::default();
+        let mut local = informed();
         local.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
         local
     };
@@ -72,8 +83,8 @@
     );
 
     let mut left = fresh();
-    assert_eq!(left.mark_left("i-other"), Change::Ignored);
-    assert_eq!(left.mark_left("i-1"), Change::Told);
+    assert_eq!(left.mark_left("i-other", WALL).1, Change::Ignored);
+    assert_eq!(left.mark_left("i-1", WALL), (key(20), Change::Told));
     assert!(left.serving(HEARTBEAT_INTERVAL, now).is_none());
 
     let mut unreachable = fresh();
@@ -134,7 +145,7 @@
         slots: 4,
         cold_left: Duration::ZERO,
     };
-    let mut restored = LocalInstance::default();
+    let mut restored = informed();
     let address: SmolStr = "10.0.0.1:8080".into();
     assert_eq!(restored.restore(&info, address.clone(), now), Change::Told);
     assert!(restored.serving(HEARTBEAT_INTERVAL, now).is_some());
@@ -144,12 +155,12 @@
     assert!(restored.serving(HEARTBEAT_INTERVAL, now).is_none());
 
     // What the instance says itself is not replaced.
-    let mut known = LocalInstance::default();
+    let mut known = informed();
     known.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
     assert_eq!(known.restore(&info, address.clone(), now), Change::Ignored);
 
     // Without a heartbeat the announcement loses its validity.
-    let mut silent = LocalInstance::default();
+    let mut silent = informed();
     silent.restore(&info, address, now);
     let later = now + HEARTBEAT_INTERVAL * 4;
     assert!(silent.serving(HEARTBEAT_INTERVAL, later).is_none());
@@ -165,7 +176,7 @@
 #[test]
 fn an_instance_that_says_it_is_leaving_does_not_serve_whatever_its_heartbeats_say() {
     let now = Instant::now();
-    let mut local = LocalInstance::default();
+    let mut local = informed();
     local.record_heartbeat(heartbeat(20, 1, Phase::Ready), now);
     assert_eq!(local.mark_draining(&key(10)), Change::Ignored);
     assert!(local.serving(HEARTBEAT_INTERVAL, now).is_some());
@@ -184,7 +195,7 @@
     let now = Instant::now();
     // Its announcement arrives before the first heartbeat, or after it.
     for is_first in [true, false] {
-        let mut local = LocalInstance::default();
+        let mut local = informed();
         if is_first {
             assert_eq!(local.restore_leaving(key(20)), Change::Ignored);
             assert_eq!(local.leaving(), Some(key(20)));
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -285,4 +285,15 @@
     Move(MoveRecord),
     /// A quarantined request.
     Quarantined(quarantine::Record),
+    /// An incarnation of an instance that is leaving.
+    Departure(DepartureRecord),
+}
+
+/// A departure that the daemon beside the instance may acknowledge once the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureRecord {
+    /// Id of the daemon.
+    pub daemon: DaemonId,
+    /// The incarnation; those of the same id that were born earlier have left too.
+    pub instance: InstanceKey,
 }
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -121,6 +121,13 @@
         &[],
         "Time from a ticket's record to its being in force on this daemon",
     ),
+    metric(
+        "bronzehead_departure_seconds",
+        MetricKind::Histogram,
+        "seconds",
+        &["outcome"],
+        "Time from the upstream's word that it leaves to the answer, which is an acknowledgement only if the store holds it",
+    ),
     metric(
         "bronzehead_epoch",
         MetricKind::Gauge,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// Answer to an upstream that says that it leaves, as the label `outcome`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DepartureOutcome {
+    /// It was acknowledged.
+    Acknowledged,
+    /// The store did not take it in time.
+    Refused,
+}
+
+impl DepartureOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Acknowledged => "acknowledged",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Direction of control-plane traffic, as the label `direction`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
@@ -182,6 +200,7 @@
     control_bytes: Counter<u64>,
     log_requests: Counter<u64>,
     convergence: Histogram<f64>,
+    departures: Histogram<f64>,
     rollouts_ended: Counter<u64>,
     ticket: Gauge<u64>,
     next_offset: Gauge<u64>,
@@ -231,6 +250,11 @@
                 "bronzehead_convergence",
                 &CONVERGENCE_BOUNDS_SECONDS,
             ),
+            departures: seconds_histogram(
+                &meter,
+                "bronzehead_departure",
+                &CONVERGENCE_BOUNDS_SECONDS,
+            ),
             rollouts_ended: counter(&meter, "bronzehead_moves_ended", ""),
             ticket: gauge(&meter, "bronzehead_ticket"),
             next_offset: gauge(&meter, "bronzehead_next_offset"),
@@ -307,6 +331,12 @@
         self.convergence.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records the answer to the upstream's word that it leaves, `took` after it arrived.
+    pub fn record_departure(&self, outcome: DepartureOutcome, took: Duration) {
+        let outcome = static_label("outcome", outcome.label());
+        self.departures.record(took.as_secs_f64(), &[outcome]);
+    }
+
     /// Counts a rollout that ended.
     pub fn record_rollout_end(&self, service: &ServiceName, end: &RolloutOutcome) {
         let end = static_label("end", outcome_label(end));
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -10,6 +10,7 @@
 use crate::catalogue::METRICS;
 use crate::metrics::CallOutcome;
 use crate::metrics::CapOutcome;
+use crate::metrics::DepartureOutcome;
 use crate::metrics::Direction;
 use crate::metrics::LogRequest;
 use crate::metrics::Purpose;
@@ -27,6 +28,7 @@
     metrics.record_control_bytes(Purpose::Feed, Direction::Sent, 120);
     metrics.record_log_request(LogRequest::Append);
     metrics.record_convergence(Duration::from_millis(90));
+    metrics.record_departure(DepartureOutcome::Acknowledged, Duration::from_millis(8));
     metrics.record_rollout_end(&service, &RolloutOutcome::Done);
     metrics.set_load(3, 1);
     metrics.set_kept_slots(2);
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -11,6 +11,7 @@
 use http_edge::Response;
 use mesh::instance::Change;
 use mesh::instance::Heartbeat;
+use mesh::instance::InstanceId;
 use mesh::instance::Phase;
 use protocol::call::NotRunReason;
 use serde_json::json;
@@ -30,18 +31,10 @@
 impl Handler for HeartbeatHandler {
     async fn handle(&self, req: Request) -> Response {
         match heartbeat::decode(&req) {
-            Ok(InstanceCall::Heartbeat(heartbeat)) => self.node.handle_heartbeat(heartbeat),
-            Ok(InstanceCall::Deregister(id)) => {
-                let change = self.node.local.borrow_mut().mark_left(&id);
-                self.node.log_state(
-                    "instance-left",
-                    || json!({ "instance": id, "change": format!("{change:?}") }),
-                );
-                if change == Change::Told {
-                    self.node.dispatcher.refuse_waiting(NotRunReason::Leaving);
-                }
-                heartbeat::acknowledgement()
+            Ok(InstanceCall::Heartbeat(heartbeat)) => {
+                Node::handle_heartbeat(&self.node, heartbeat).await
             }
+            Ok(InstanceCall::Deregister(id)) => Node::handle_deregistration(&self.node, id).await,
             Err(InstanceCallError::UnknownCall) => {
                 Response::text(StatusCode::NOT_FOUND, "no such call")
             }
@@ -55,13 +48,42 @@
 }
 
 impl Node {
-    fn handle_heartbeat(&self, heartbeat: Heartbeat) -> Response {
+    async fn handle_deregistration(node: &SharedNode, id: InstanceId) -> Response {
+        let wall = unix_millis(SystemTime::now());
+        let (key, change) = node.local.borrow_mut().mark_left(&id, wall);
+        node.log_state(
+            "instance-left",
+            || json!({ "instance": id, "born": key.born, "change": format!("{change:?}") }),
+        );
+        if change == Change::Told {
+            node.dispatcher.refuse_waiting(NotRunReason::Leaving);
+        }
+        Self::acknowledge_departure(node, &key).await
+    }
+
+    async fn handle_heartbeat(node: &SharedNode, heartbeat: Heartbeat) -> Response {
+        let key = heartbeat.key();
+        let phase = heartbeat.phase;
+        if let Err(reason) = node.apply_heartbeat(heartbeat) {
+            return Response::text(StatusCode::BAD_REQUEST, reason);
+        }
+        match phase {
+            Phase::Ready => heartbeat::acknowledgement(),
+            Phase::Draining => Self::acknowledge_departure(node, &key).await,
+        }
+    }
+
+    /// Applies a heartbeat of the local instance.
+    ///
+    /// # Errors
+    /// Why it cannot be one of this instance.
+    fn apply_heartbeat(&self, heartbeat: Heartbeat) -> Result<(), &'static str> {
         let expected = self.boot.borrow().instance_address.to_string();
         if heartbeat.address != expected {
             self.log_state("heartbeat-misplaced", || {
                 json!({ "instance": heartbeat.id, "address": heartbeat.address, "expected": expected })
             });
-            return Response::text(StatusCode::BAD_REQUEST, "address of another machine");
+            return Err("address of another machine");
         }
         let wall = unix_millis(SystemTime::now());
         if let Err(fault) = heartbeat.check(wall) {
@@ -69,7 +91,7 @@
                 "heartbeat-unreadable",
                 || json!({ "instance": heartbeat.id, "reason": format!("{fault:?} out of range") }),
             );
-            return Response::text(StatusCode::BAD_REQUEST, "unreadable heartbeat");
+            return Err("unreadable heartbeat");
         }
         let (slots, born, phase) = (heartbeat.slots, heartbeat.born, heartbeat.phase);
         let fields = json!({
@@ -94,14 +116,14 @@
             Change::Ignored => self.log_state("heartbeat-ignored", || fields),
             Change::Told => {
                 self.log_state("instance-changed", || fields);
-                if phase == Phase::Draining {
+                if self.local.borrow().is_leaving() {
                     self.dispatcher.refuse_waiting(NotRunReason::Leaving);
                 } else {
                     self.dispatcher.set_slots(slots, born);
                 }
             }
         }
-        heartbeat::acknowledgement()
+        Ok(())
     }
 }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -30,6 +30,7 @@
 use serde_json::json;
 use users_platform::responses;
 
+use crate::departures::DEPARTURES_PATH;
 use crate::dispatch::Dispatched;
 use crate::dispatch::Waiting;
 use crate::logs::EventClass;
@@ -297,6 +298,9 @@
         {
             return Response::new(StatusCode::OK, body);
         }
+        if req.path() == DEPARTURES_PATH && req.header(CALL_HEADER).is_none() {
+            return Box::pin(self.node.write_for_peer(&req.body)).await;
+        }
         if req.path() == TRANSFER_PATH && req.header(CALL_HEADER).is_none() {
             return match self.node.answer_grant(&req).await {
                 Some(outcome) => self.node.encode_reply(outcome, None, None),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod compression;
 mod control;
+mod departures;
 mod dispatch;
 mod dispatcher;
 mod evacuation;
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -308,7 +308,7 @@
     fn decode_move(&self, key: &str, value: &[u8]) -> Option<MoveRecord> {
         match codec::decode(value) {
             Ok(Record::Move(record)) => Some(record),
-            Ok(Record::Member(_) | Record::Quarantined(_)) => None,
+            Ok(Record::Member(_) | Record::Quarantined(_) | Record::Departure(_)) => None,
             Err(e) => {
                 self.log_state(
                     "record-unreadable",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -141,6 +141,8 @@
     wake: RefCell<WakeDetector>,
     /// Traffic of clients and peers on the machine's network link.
     pub link: RefCell<LinkMeter>,
+    /// Whether a task is storing departures of the local instance.
+    pub is_storing_departures: Cell<bool>,
     /// Set once the members were read from the store or from a peer.
     pub has_loaded_members: Cell<bool>,
     /// Set when the shutdown begins; the daemon is no longer ready for clients then.
@@ -224,6 +226,7 @@
             started_at,
             wake: RefCell::new(WakeDetector::new(clock::boot_time(started_at))),
             link: RefCell::new(LinkMeter::new(started_at)),
+            is_storing_departures: Cell::new(false),
             has_loaded_members: Cell::new(false),
             stopping: Latch::default(),
             closing: Latch::default(),
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -277,7 +277,11 @@
     /// Discards what this daemon believes to be stored, since the store may have lost it.
     fn forget_stored(&self, topic: Topic) {
         match topic {
-            Topic::Mesh => self.stored_members.borrow_mut().clear(),
+            Topic::Mesh => {
+                self.stored_members.borrow_mut().clear();
+                let mut local = self.local.borrow_mut();
+                local.departures_mut().forget_stored();
+            }
             Topic::Operator => {
                 self.moves.borrow_mut().offsets_went_back();
                 self.evacuations.borrow_mut().offsets_went_back();
@@ -303,6 +307,7 @@
             self.record_operator_read(sent);
         }
         if topic == Topic::Mesh {
+            self.record_departures_read();
             self.has_loaded_members.set(true);
             self.pending_members.borrow_mut().clear();
         }
@@ -431,6 +436,7 @@
             }
             Ok(Record::Move(record)) => self.merge_move(record, MoveSource::Store),
             Ok(Record::Quarantined(record)) => self.merge_stored_quarantine(record),
+            Ok(Record::Departure(record)) => self.merge_departure(&record),
             Err(e) => {
                 self.log_state(
                     "record-unreadable",
--- /dev/null
+++ b/daemons/bronzehead-sidecar/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon as processes that are killed and stopped, beside a stand-in store and instances.
+
+mod departures;
+mod site;
--- /dev/null
+++ b/daemons/bronzehead-sidecar/tests/processes/site.rs
@@ -0,0 +1,392 @@
+//! Machines on loopback addresses, each with a process of the daemon and an instance, and the stand-in
+//! store.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fs;
+use std::fs::File;
+use std::future::Future;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use base::units::unix_millis;
+use bytes::BytesMut;
+use http::Method;
+use http::StatusCode;
+use http_edge::CallError;
+use http_edge::Conn;
+use http_edge::Handler;
+use http_edge::Limits;
+use http_edge::Request;
+use http_edge::Response;
+use http_edge::Server;
+use http_edge::ServerCfg;
+use serde_json::json;
+use standin_store::StoreService;
+use users_platform::records;
+
+/// Upper limit for each awaited event.
+pub const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Interval of the heartbeats.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Time in which an instance takes the answer to a call of its own.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Machines of a site.
+const MACHINES: u8 = 3;
+
+/// Time after the start in which the daemons learn of each other.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Ports of a machine.
+const REQUESTS: u16 = 9101;
+const READY: u16 = 9102;
+const CONTROL: u16 = 9103;
+const INSTANCE: u16 = 9104;
+const PEERS: u16 = 9105;
+const STORE: u16 = 9106;
+
+/// An instance: answers requests after a while and records when they arrived.
+pub struct Instance {
+    pub id: String,
+    pub arrivals: RefCell<Vec<(Instant, String)>>,
+    pub work: Cell<Duration>,
+    pub is_beating: Cell<bool>,
+    born: u64,
+    sequence: Cell<u64>,
+}
+
+impl Instance {
+    fn new(number: u8) -> Self {
+        Self {
+            id: format!("i-{number}"),
+            arrivals: RefCell::default(),
+            work: Cell::new(Duration::from_millis(20)),
+            is_beating: Cell::new(true),
+            born: unix_millis(SystemTime::now()),
+            sequence: Cell::new(0),
+        }
+    }
+
+    /// Returns how many requests arrived at `since` or later.
+    pub fn arrivals_since(&self, since: Instant) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|(at, _)| *at >= since).count()
+    }
+}
+
+impl Handler for Instance {
+    async fn handle(&self, req: Request) -> Response {
+        let id = req.header("x-request-id").unwrap_or_default().to_owned();
+        if req.header("x-target-instance") != Some(self.id.as_str()) {
+            let refusal = Response::text(StatusCode::MISDIRECTED_REQUEST, "another instance");
+            return refusal.with_header("x-request-id", id);
+        }
+        let arrival = (Instant::now(), id.clone());
+        self.arrivals.borrow_mut().push(arrival);
+        monoio::time::sleep(self.work.get()).await;
+        Response::text(StatusCode::OK, id.clone())
+            .with_header("x-request-id", id)
+            .with_header("x-response-stamp", &self.id)
+    }
+}
+
+/// Processes of the daemons of a test, by the address of their machine.
+type Processes = Rc<RefCell<HashMap<IpAddr, Child>>>;
+
+/// Kills the processes that still run when the test ends, also if it fails.
+struct KillGuard(Processes);
+
+impl Drop for KillGuard {
+    fn drop(&mut self) {
+        for (_, mut child) in self.0.take() {
+            // One that has ended by itself cannot be killed, and needs not be.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A machine. Its store has faults of its own.
+pub struct Machine {
+    pub ip: IpAddr,
+    pub instance: Rc<Instance>,
+    pub store: StoreService,
+    name: String,
+    dir: PathBuf,
+    processes: Processes,
+    _servers: [Server; 2],
+}
+
+impl Machine {
+    fn new(
+        number: u8,
+        store: &StoreService,
+        dir: &Path,
+        (test, processes): (u8, &Processes),
+    ) -> Rc<Self> {
+        let ip = IpAddr::from([127, 9, test, number]);
+        let instance = Rc::new(Instance::new(number));
+        let store = store.with_own_faults();
+        let servers = [
+            serve(ip, INSTANCE, Rc::clone(&instance)),
+            serve(ip, STORE, Rc::new(store.clone())),
+        ];
+        let machine = Rc::new(Self {
+            ip,
+            instance,
+            store,
+            name: format!("machine-{number}"),
+            dir: dir.to_owned(),
+            processes: Rc::clone(processes),
+            _servers: servers,
+        });
+        machine.write_settings();
+        machine.start();
+        monoio::spawn(Rc::clone(&machine).beat());
+        machine
+    }
+
+    fn write_settings(&self) {
+        let (ip, name) = (self.ip, &self.name);
+        let at = |port: u16| format!("{ip}:{port}");
+        let settings = json!({
+            "Node": name, "Ip": ip, "Zone": "z", "Service": "bookings",
+            "Listen": {
+                "Inbound": at(PEERS), "Outbound": at(REQUESTS), "Ready": at(READY), "Control": at(CONTROL),
+            },
+            "PortRange": [PEERS, PEERS + 1],
+            "Limits": { "CpuShare": 0.2, "Cores": 1, "MemoryMb": 260, "LinkMbps": 1000.0 },
+            "Heartbeat": "1500ms",
+            "Bounds": ["Grace=6s", "RetryRatio=0.2", "RetrySlack=60"],
+            "AppAddr": at(INSTANCE),
+            "Platform": { "Address": at(STORE), "form": "log" },
+        });
+        // JSON is YAML.
+        fs::write(self.settings_path(), settings.to_string()).expect("the folder can be written");
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.dir.join(format!("{}.yaml", self.name))
+    }
+
+    /// Starts the daemon.
+    pub fn start(&self) {
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(self.dir.join(format!("{}.log", self.name)))
+            .expect("the folder can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_bronzehead-sidecar"))
+            .env("BRONZEHEAD_BOOT", self.settings_path())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("the file is open"))
+            .stderr(log)
+            .spawn()
+            .expect("the program was built");
+        self.processes.borrow_mut().insert(self.ip, child);
+    }
+
+    /// Kills the daemon.
+    pub fn kill(&self) {
+        let child = self.processes.borrow_mut().remove(&self.ip);
+        if let Some(mut child) = child {
+            child.kill().expect("the daemon runs");
+            child.wait().expect("the daemon was killed");
+        }
+    }
+
+    async fn beat(self: Rc<Self>) {
+        while self.instance.is_beating.get() {
+            let sequence = self.instance.sequence.get() + 1;
+            self.instance.sequence.set(sequence);
+            self.send_heartbeat("ready", sequence).await;
+            monoio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    /// Returns the sequence number of the instance's latest heartbeat.
+    pub fn sequence(&self) -> u64 {
+        self.instance.sequence.get()
+    }
+
+    /// Sends a heartbeat of the instance; returns whether it was acknowledged.
+    pub async fn send_heartbeat(&self, state: &str, sequence: u64) -> bool {
+        let body = json!({
+            "Service": "bookings", "Version": "v1", "Address": format!("{}:{INSTANCE}", self.ip),
+            "Zone": "z", "Slots": 8, "State": state, "ColdLeft": "0ms", "Seq": sequence,
+            "born": self.instance.born,
+        });
+        let path = format!("/-/Instances.Heartbeat/{}", self.instance.id);
+        self.call_control(path, body.to_string()).await
+    }
+
+    /// Has the instance deregister; returns whether that was acknowledged.
+    pub async fn deregister(&self) -> bool {
+        let path = format!("/-/Instances.Deregister/{}", self.instance.id);
+        self.call_control(path, String::new()).await
+    }
+
+    async fn call_control(&self, path: String, body: String) -> bool {
+        let res = call(self.ip, CONTROL, Request::post(path, body), CALL_TIMEOUT).await;
+        res.is_some_and(|res| res.status == StatusCode::OK)
+    }
+
+    /// Sends a request that may run once only, over a new connection.
+    pub async fn book(&self, id: &str) -> Option<Response> {
+        call(self.ip, REQUESTS, booking(id), TIMEOUT).await
+    }
+
+    /// Waits until the daemon is ready.
+    pub async fn wait_ready(&self) {
+        let end = Instant::now() + TIMEOUT;
+        loop {
+            let res = call(self.ip, READY, Request::get("/-/readyz"), CALL_TIMEOUT).await;
+            if res.is_some_and(|res| res.status == StatusCode::OK) {
+                return;
+            }
+            assert!(Instant::now() < end, "{} is not ready", self.name);
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a request of a client here reaches the instance.
+    async fn wait_for_instance(&self) {
+        let end = Instant::now() + TIMEOUT;
+        while self.instance.arrivals.borrow().is_empty() {
+            assert!(Instant::now() < end, "{} gets no requests", self.name);
+            self.book("warm-up").await;
+        }
+    }
+}
+
+/// A store and machines of one service.
+pub struct Site {
+    pub machines: Vec<Rc<Machine>>,
+    is_sending: Rc<Cell<bool>>,
+}
+
+impl Site {
+    /// Starts the machines and waits until each serves.
+    async fn start(test: u8, processes: &Processes) -> Self {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("site-{test}"));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).expect("the folder can be written");
+        let store = StoreService::default();
+        put_config(&store);
+        let mut machines = Vec::new();
+        for number in 1..=MACHINES {
+            machines.push(Machine::new(number, &store, &dir, (test, processes)));
+        }
+        for machine in &machines {
+            machine.wait_ready().await;
+        }
+        for machine in &machines {
+            machine.wait_for_instance().await;
+        }
+        monoio::time::sleep(SETTLE_TIME).await;
+        let is_sending = Rc::new(Cell::new(true));
+        Self {
+            machines,
+            is_sending,
+        }
+    }
+
+    /// Sends requests from the clients of all machines until [`Self::close`].
+    pub fn send_requests(&self) {
+        for machine in &self.machines {
+            let (machine, is_sending) = (Rc::clone(machine), Rc::clone(&self.is_sending));
+            monoio::spawn(async move {
+                let mut count = 0;
+                while is_sending.get() {
+                    count += 1;
+                    machine.book(&format!("{}-{count}", machine.ip)).await;
+                    monoio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        }
+    }
+
+    /// Ends all daemons.
+    pub fn close(self) {
+        self.is_sending.set(false);
+        for machine in &self.machines {
+            machine.instance.is_beating.set(false);
+            machine.kill();
+        }
+    }
+}
+
+/// Runs a test on a site of three machines. Each test has its own addresses.
+pub fn with_site<F: Future<Output = Site> + 'static>(test: u8, body: impl Fn(Site) -> F) {
+    with_sites([(test, ())], |site, ()| body(site));
+}
+
+/// Runs a test with several cases at once, each on a site of its own.
+pub fn with_sites<C, F: Future<Output = Site> + 'static>(
+    cases: impl IntoIterator<Item = (u8, C)>,
+    body: impl Fn(Site, C) -> F,
+) {
+    let processes = Processes::default();
+    let _guard = KillGuard(Rc::clone(&processes));
+    http_edge::block_on(async {
+        let mut running = Vec::new();
+        for (test, case) in cases {
+            let case = body(Site::start(test, &processes).await, case);
+            running.push(monoio::spawn(async move { case.await.close() }));
+        }
+        for case in running {
+            case.await;
+        }
+    });
+}
+
+/// Returns a request that may run once only.
+pub fn booking(id: &str) -> Request {
+    Request::new(Method::POST, "/book/1", "{}")
+        .with_header("host", "shop.example")
+        .with_header("x-request-id", id)
+        .with_header("x-deadline-ms", "2000")
+}
+
+async fn call(ip: IpAddr, port: u16, req: Request, timeout: Duration) -> Option<Response> {
+    let address = SocketAddr::new(ip, port);
+    let conn = Conn::connect(address, timeout, Limits::default()).await;
+    let answered: Result<Response, CallError> = conn.ok()?.call(req, timeout).await;
+    answered.ok()
+}
+
+fn serve<H: Handler>(ip: IpAddr, port: u16, handler: Rc<H>) -> Server {
+    let listener = http_edge::listen(SocketAddr::new(ip, port)).expect("the address is free");
+    Server::start(listener, handler, ServerCfg::default())
+}
+
+fn put_config(store: &StoreService) {
+    let book = json!({
+        "Hostname": "shop.example", "PathPrefix": "/book/", "Kind": "non_idempotent",
+        "Service": "bookings", "Timeout": "2000ms", "TargetLatency": "800ms", "Priority": 1, "Attempts": 2,
+    });
+    let config = json!({
+        "Version": "r3", "Routes": { "book": book }, "Services": { "bookings": {} },
+        "Limits": {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeout": "3s", "IdleTimeout": "15s",
+        },
+    });
+    let mut buf = BytesMut::new();
+    let encoded = records::encode(&mut buf, "config", config.to_string().as_bytes());
+    encoded.expect("the key is short enough");
+    let appended = store.with_topic("keyed.op", |topic| topic.append(buf.freeze()));
+    appended.expect("the record is complete");
+}
