Await a request that is on its way when a server closes

What callers saw: in a planned stop, a request whose head or body was still on its way when the listeners closed lost its connection without an answer, with over 2 s of the grace period left. Uploads over slow links are of this kind.

Cause: a closing connection waited 250 ms for the next request and was closed then, whether it was idle or had received part of one.

Evidence: a test with real processes and kept connections.

Change: the reader tells the writer whether bytes of the next message have arrived, and the writer then goes on waiting. The wait ends with the time limit of the close, which is the grace period.

Why it works: the writer ends a connection on its own only if nothing has arrived on it for a whole 250 ms and no message has begun.

--- a/crates/http-edge/src/limited.rs
+++ b/crates/http-edge/src/limited.rs
@@ -42,6 +42,8 @@
     refused: Rc<Cell<bool>>,
     /// Whether reads end at once, as at the end of the connection.
     ends: Rc<Cell<bool>>,
+    /// Whether bytes of the current message were read.
+    has_begun: Rc<Cell<bool>>,
 }
 
 impl ReadBudget {
@@ -50,6 +52,7 @@
             remaining: Rc::new(Cell::new(bytes)),
             refused: Rc::default(),
             ends: Rc::default(),
+            has_begun: Rc::default(),
         }
     }
 
@@ -64,6 +67,17 @@
         self.ends.set(ends);
     }
 
+    /// Begins the next message, whose head may take that many bytes.
+    pub(crate) fn begin_message(&self, bytes: usize) {
+        self.has_begun.set(false);
+        self.reset(bytes);
+    }
+
+    /// Whether bytes of the current message have been read from the connection.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
     pub(crate) fn reset(&self, bytes: usize) {
         self.remaining.set(bytes);
     }
@@ -81,6 +95,7 @@
     }
 
     fn consume(&self, bytes: usize) {
+        self.has_begun.set(bytes > 0 || self.has_begun.get());
         self.remaining
             .set(self.remaining.get().saturating_sub(bytes));
     }
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -21,6 +21,7 @@
 
 use crate::latch::Latch;
 use crate::limited::Limits;
+use crate::limited::ReadBudget;
 use crate::message::Request;
 use crate::message::Response;
 
@@ -120,7 +121,8 @@
     /// Closes the listener and idle connections, and waits up to `drain_timeout` until all requests
     /// and connections have ended.
     ///
-    /// Requests that are in transit when this is called are answered too.
+    /// Requests that are in transit when this is called are answered too, also if their head or body is
+    /// still on its way.
     pub async fn close(self, drain_timeout: Duration) {
         self.shared.draining.set();
         self.shared.closing.set();
@@ -209,13 +211,14 @@
     }
     let (r, w) = stream.into_split();
     let (tx, rx) = channel::channel();
+    let budget = ReadBudget::new(cfg.limits.max_head_bytes);
     // Reads while a request is handled, so that a disconnect is detected.
     let read_loop = async {
-        reader::read_requests(r, tx, cfg).await;
+        reader::read_requests(r, tx, cfg, budget.clone()).await;
         // The write loop may still have a response to write, and ends the connection after it.
         std::future::pending::<()>().await;
     };
-    let write_loop = writer::serve_requests(w, rx, handler, shared);
+    let write_loop = writer::serve_requests(w, (rx, budget.clone()), handler, shared);
     monoio::select! {
         () = write_loop => {}
         () = read_loop => {}
--- a/crates/http-edge/src/server/reader.rs
+++ b/crates/http-edge/src/server/reader.rs
@@ -50,8 +50,8 @@
     r: OwnedReadHalf<TcpStream>,
     tx: Sender<Incoming>,
     cfg: ServerCfg,
+    budget: ReadBudget,
 ) {
-    let budget = ReadBudget::new(cfg.limits.max_head_bytes);
     let decoder =
         RequestDecoder::new_with_timeout(LimitedReader::new(r, budget.clone()), cfg.idle_timeout);
     let mut reader = Reader {
@@ -84,7 +84,7 @@
 impl Reader {
     /// Reads the next request; `None` at the end of the connection.
     async fn read_request(&mut self) -> Result<Option<Incoming>, RequestError> {
-        self.budget.reset(self.limits.max_head_bytes);
+        self.budget.begin_message(self.limits.max_head_bytes);
         let head = match self.decoder.next().await {
             None => return Ok(None),
             Some(head) => head.map_err(|e| self.to_request_error(&e))?,
--- a/crates/http-edge/src/server/writer.rs
+++ b/crates/http-edge/src/server/writer.rs
@@ -15,6 +15,7 @@
 use crate::encode;
 use crate::encode::BodyMode;
 use crate::error::RequestError;
+use crate::limited::ReadBudget;
 use crate::message::Request;
 use crate::message::Response;
 use crate::server::CountGuard;
@@ -33,7 +34,7 @@
 /// Handles requests in order, one at a time.
 pub(super) async fn serve_requests<H: Handler>(
     mut w: Writer,
-    mut rx: Receiver<Incoming>,
+    (mut rx, budget): (Receiver<Incoming>, ReadBudget),
     handler: Rc<H>,
     shared: Rc<Shared>,
 ) {
@@ -42,7 +43,7 @@
         let incoming = if pipelined.is_some() {
             pipelined.take()
         } else {
-            next_request(&mut rx, &shared).await
+            next_request(&mut rx, &budget, &shared).await
         };
         let Some(incoming) = incoming else { return };
         let guard = CountGuard::new(&shared, |shared| &shared.active_requests);
@@ -63,13 +64,24 @@
 }
 
 /// Receives the next request; `None` if the client has disconnected, or if none arrives within
-/// [`CLOSE_LINGER`] of the start of a close.
-async fn next_request(rx: &mut Receiver<Incoming>, shared: &Shared) -> Option<Incoming> {
+/// [`CLOSE_LINGER`] of the start of a close. One that has begun to arrive is awaited.
+async fn next_request(
+    rx: &mut Receiver<Incoming>,
+    budget: &ReadBudget,
+    shared: &Shared,
+) -> Option<Incoming> {
     monoio::select! {
         incoming = rx.recv() => return incoming,
         () = shared.closing.wait() => {}
     }
-    monoio::time::timeout(CLOSE_LINGER, rx.recv()).await.ok()?
+    loop {
+        if let Ok(incoming) = monoio::time::timeout(CLOSE_LINGER, rx.recv()).await {
+            return incoming;
+        }
+        if !budget.has_begun() {
+            return None;
+        }
+    }
 }
 
 /// What the writer does after a response.
--- a/daemons/bronzehead-sidecar/tests/processes/site.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/site.rs
@@ -41,6 +41,9 @@
 /// Interval of the heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Time after SIGTERM in which a daemon must end.
+pub const GRACE: Duration = Duration::from_secs(6);
+
 /// Time in which an instance takes the answer to a call of its own.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -51,14 +54,14 @@
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Ports of a machine.
-const REQUESTS: u16 = 9101;
+pub const REQUESTS: u16 = 9101;
 const READY: u16 = 9102;
 const CONTROL: u16 = 9103;
 const INSTANCE: u16 = 9104;
 const PEERS: u16 = 9105;
 const STORE: u16 = 9106;
 
-/// An instance: answers requests after a while and records when they arrived.
+/// An instance: answers requests after a while, or at their deadline, and records when they arrived.
 pub struct Instance {
     pub id: String,
     pub arrivals: RefCell<Vec<(Instant, String)>>,
@@ -85,6 +88,12 @@
         let arrivals = self.arrivals.borrow();
         arrivals.iter().filter(|(at, _)| *at >= since).count()
     }
+
+    /// Returns how often a request arrived.
+    pub fn runs(&self, id: &str) -> usize {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|(_, known)| known == id).count()
+    }
 }
 
 impl Handler for Instance {
@@ -96,8 +105,15 @@
         }
         let arrival = (Instant::now(), id.clone());
         self.arrivals.borrow_mut().push(arrival);
-        monoio::time::sleep(self.work.get()).await;
-        Response::text(StatusCode::OK, id.clone())
+        let deadline = req.header("x-deadline-ms").and_then(|ms| ms.parse().ok());
+        let left = deadline.map_or(TIMEOUT, Duration::from_millis);
+        let status = if self.work.get() <= left {
+            StatusCode::OK
+        } else {
+            StatusCode::GATEWAY_TIMEOUT
+        };
+        monoio::time::sleep(self.work.get().min(left)).await;
+        Response::text(status, id.clone())
             .with_header("x-request-id", id)
             .with_header("x-response-stamp", &self.id)
     }
@@ -127,6 +143,7 @@
     name: String,
     dir: PathBuf,
     processes: Processes,
+    terminated_at: Cell<Instant>,
     _servers: [Server; 2],
 }
 
@@ -151,6 +168,7 @@
             name: format!("machine-{number}"),
             dir: dir.to_owned(),
             processes: Rc::clone(processes),
+            terminated_at: Cell::new(Instant::now()),
             _servers: servers,
         });
         machine.write_settings();
@@ -208,6 +226,29 @@
         }
     }
 
+    /// Sends SIGTERM to the daemon.
+    pub fn terminate(&self) {
+        let processes = self.processes.borrow();
+        let pid = processes[&self.ip].id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("the command exists").success());
+        self.terminated_at.set(Instant::now());
+    }
+
+    /// Waits until the daemon has ended; returns how long that took from the signal on.
+    pub async fn wait_for_end(&self) -> Duration {
+        let began = self.terminated_at.get();
+        let child = self.processes.borrow_mut().remove(&self.ip);
+        let mut child = child.expect("the daemon was started");
+        while child.try_wait().expect("it can be waited for").is_none() {
+            if began.elapsed() > TIMEOUT {
+                child.kill().expect("it still runs");
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        began.elapsed()
+    }
+
     async fn beat(self: Rc<Self>) {
         while self.instance.is_beating.get() {
             let sequence = self.instance.sequence.get() + 1;
