Answer each request before a stopping daemon ends, or refuse it

What callers saw (a report of other operators, not yet seen here): in a planned stop, requests that came late in the grace period were taken and passed on, and lost their connection without an answer at its end, among them requests that may not be repeated.

It can happen here: a daemon took requests of its peers until its last client had its answer, and the listener of peers got what was left of the grace period. Whoever had not heard the notice, because one datagram was lost, could send a request that outlasted the process; so could one that waited in a queue.

Evidence: a test with real processes, in which a peer goes on sending requests that may run once only, each with 1.7 s of work. On the untouched code a request that arrived 3.8 s after SIGTERM ran and got no answer, in 2 of 2 runs.

Change: mesh::shutdown knows when the last answer is sent. A request is taken, sent to the instance, or left in the queue only if it will have its answer by then: at its deadline at the latest, or, while clients still come, in twice the time in which an answer has its full value. Any other is refused as not run, at once, with a time to come back. Just before the end, what still waits is refused. Each reply of a closing daemon tells the peer that it closes, and ends the kept connection.

Why it works: after the listeners begin to close, each request that is at work has its deadline before the end of the process, and the instance stops work at that deadline. Requests with longer deadlines that were taken in the first 2.5 s can still outlast the process; they are those that the users' rule leaves out.

The test passes in 3 of 3 runs; a table of cases tests the decision alone.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rate_limit;
 pub mod retry_budgets;
 pub mod route_proof;
+pub mod shutdown;
 pub mod stored_members;
 pub mod table;
 pub mod transfers;
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -29,6 +29,7 @@
 mod rate_limit;
 mod replay;
 mod retry_budgets;
+mod shutdown;
 mod stored_members;
 mod table;
 mod transfers;
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -9,6 +9,7 @@
 use http_edge::Response;
 use mesh::directory::Entry;
 use mesh::instance::Change;
+use mesh::shutdown::Expectation;
 use mesh::wire::ForwardHead;
 use mesh::wire::ForwardOutcome;
 use protocol::call::NotRun;
@@ -131,10 +132,16 @@
         }
         self.adopt_limit(head);
         let deadline = arrived + Duration::from_millis(u64::from(head.left_ms));
+        let expected = Expectation {
+            deadline,
+            full_value_until: arrived + Duration::from_millis(u64::from(head.full_value_ms)),
+        };
+        if self.ends_before(expected) {
+            return self.refuse(NotRunReason::Leaving);
+        }
         let mut isolation = None;
         if self.runs_isolated(head) {
-            let full_value_until = arrived + Duration::from_millis(u64::from(head.full_value_ms));
-            isolation = self.isolation.enter(full_value_until).await;
+            isolation = self.isolation.enter(expected.full_value_until).await;
             if isolation.is_none() {
                 return self.refuse(NotRunReason::Overloaded);
             }
@@ -146,10 +153,13 @@
             Ok(slot) => slot,
             Err(not_run) => return Dispatched::without_answer(ForwardOutcome::NotRun(not_run)),
         };
-        // The instance may have left while the request was queued.
+        // The instance may have left while the request was queued, or the shutdown begun.
         if let Some(reason) = self.mismatch(head) {
             return self.refuse(reason);
         }
+        if self.ends_before(expected) {
+            return self.refuse(NotRunReason::Leaving);
+        }
         if self.is_blocked_here(head) {
             return Dispatched::without_answer(ForwardOutcome::NotRun(refuse_blocked()));
         }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -342,6 +342,8 @@
     ) -> Response {
         let member = match &outcome {
             ForwardOutcome::NotRun(not_run) => self.corrected_announcement(not_run.reason),
+            // The caller may not have received the notice.
+            _ if self.closing.is_set() => self.own_member(),
             _ => None,
         };
         let reply = ForwardReply {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -62,6 +62,10 @@
 /// yet, or when a refusal carries no delay: one gossip round.
 pub(crate) const NO_INSTANCE_RETRY: Duration = Duration::from_millis(250);
 
+/// Retry delay sent to the client when the daemon stops before the request could be answered. Its end is
+/// near then, and a restart takes a moment.
+const RESTART_RETRY: Duration = Duration::from_millis(500);
+
 /// Handles requests from clients and from the local instance.
 pub struct IngressHandler {
     pub node: SharedNode,
@@ -154,6 +158,9 @@
             lost_attempt: None,
             token: None,
         };
+        if self.ends_before(state.expectation()) {
+            return self.return_refusal(&state, &not_sent(RESTART_RETRY));
+        }
         if self.standing(state.fingerprint) == Standing::Blocked {
             self.record_blocked(&state.id, state.fingerprint);
             return self.return_refusal(&state, &refuse_blocked());
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -42,6 +42,8 @@
 use mesh::quarantine;
 use mesh::quarantine::Quarantine;
 use mesh::retry_budgets::RetryBudgets;
+use mesh::shutdown::Expectation;
+use mesh::shutdown::Shutdown;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
 use mesh::wake::BootTime;
@@ -149,6 +151,8 @@
     pub stopping: Latch,
     /// Set later in the shutdown, when peers should send no more requests.
     pub closing: Latch,
+    /// Time limit of the shutdown; `None` before it.
+    pub shutdown: Cell<Option<Shutdown>>,
     /// Socket for gossip between daemons.
     pub datagrams: DatagramSocket,
     rng: RefCell<SmallRng>,
@@ -230,6 +234,7 @@
             has_loaded_members: Cell::new(false),
             stopping: Latch::default(),
             closing: Latch::default(),
+            shutdown: Cell::new(None),
             datagrams,
             unevenness_logged_at: Cell::new(None),
             rng: RefCell::new(SmallRng::seed_from_u64(base::hash::stable(&[
@@ -310,6 +315,12 @@
             && self.has_loaded_members.get()
     }
 
+    /// Whether the process may end before a request has its answer.
+    pub fn ends_before(&self, expected: Expectation) -> bool {
+        let shutdown = self.shutdown.get();
+        shutdown.is_some_and(|shutdown| !shutdown.leaves_time_for(expected, Instant::now()))
+    }
+
     /// Returns the service of the local instance from its last heartbeat, or from the settings
     /// before the first one.
     pub fn own_service(&self) -> ServiceName {
--- a/crates/sidecar/src/request_state.rs
+++ b/crates/sidecar/src/request_state.rs
@@ -13,6 +13,7 @@
 use mesh::customers::Identity;
 use mesh::directory::Entry;
 use mesh::rate_limit::RequestRate;
+use mesh::shutdown::Expectation;
 use mesh::wire::ForwardHead;
 use mesh::wire::RequestFingerprint;
 use protocol::call::NotRun;
@@ -79,6 +80,14 @@
         customers::rank_of(customer.map(|identity| &*identity.customer), route)
     }
 
+    /// Returns when the request must be answered.
+    pub fn expectation(&self) -> Expectation {
+        Expectation {
+            deadline: self.deadline,
+            full_value_until: self.full_value_until,
+        }
+    }
+
     /// Whether the route allows the request on one more instance.
     pub fn has_instances_left(&self) -> bool {
         let reached = u32::try_from(self.delivered_to.len()).unwrap_or(u32::MAX);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,6 +23,8 @@
 use mesh::config::Rank;
 use mesh::election::strength;
 use mesh::rate_limit::RequestRate;
+use mesh::shutdown::Shutdown;
+use protocol::call::NotRunReason;
 use report::metrics::Metrics;
 use report::metrics::MetricsError;
 use serde_json::json;
@@ -72,6 +74,10 @@
 /// Part of the grace period reserved for process exit: a tenth of the users' 6 s.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time before the end of the grace period at which requests that still wait are refused: some hops between
+/// daemons.
+const LAST_REFUSALS: Duration = Duration::from_millis(200);
+
 /// Idle time after which the server closes a connection from a peer: three times as long as the
 /// peer reuses it.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -310,6 +316,8 @@
 async fn stop(node: &SharedNode, servers: Servers) {
     let began = Instant::now();
     let grace = node.boot.borrow().grace_period.saturating_sub(EXIT_MARGIN);
+    let mut shutdown = Shutdown::new(began + grace);
+    node.shutdown.set(Some(shutdown));
     node.stopping.set();
     servers.clients.drain();
     node.log_state("stopping", || {
@@ -324,10 +332,18 @@
     monoio::time::sleep(drain_delay.saturating_sub(CLOSE_NOTICE)).await;
     node.closing.set();
     monoio::time::sleep(drain_delay.min(CLOSE_NOTICE)).await;
-    let left = grace.saturating_sub(began.elapsed());
-    servers.clients.close(left).await;
-    let left = grace.saturating_sub(began.elapsed());
-    servers.peers.close(left).await;
+    shutdown.record_closing();
+    node.shutdown.set(Some(shutdown));
+    servers.peers.drain();
+    monoio::spawn(refuse_waiting_at_end(Rc::clone(node), shutdown));
+    servers
+        .clients
+        .close(shutdown.time_left(Instant::now()))
+        .await;
+    servers
+        .peers
+        .close(shutdown.time_left(Instant::now()))
+        .await;
     for server in servers.control {
         server.close(Duration::ZERO).await;
     }
@@ -340,6 +356,13 @@
     monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
 }
 
+/// Refuses the requests that still wait for the instance just before the process ends.
+async fn refuse_waiting_at_end(node: SharedNode, shutdown: Shutdown) {
+    let left = shutdown.time_left(Instant::now());
+    monoio::time::sleep(left.saturating_sub(LAST_REFUSALS)).await;
+    node.dispatcher.refuse_waiting(NotRunReason::Leaving);
+}
+
 impl Node {
     /// Reloads the settings. If they are invalid, the current ones stay in force.
     fn reload(&self, is_requested: bool) {
--- a/daemons/bronzehead-sidecar/tests/processes/planned_stops.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/planned_stops.rs
@@ -7,16 +7,26 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::Method;
 use http::StatusCode;
 use http_edge::Conn;
 use http_edge::Limits;
+use http_edge::Request;
 use http_edge::Response;
+use ledger::Idempotency;
+use mesh::wire::ForwardHead;
+use mesh::wire::ForwardOutcome;
+use mesh::wire::ForwardReply;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
+use protocol::call::CALL_HEADER;
+use protocol::call::OUTCOME_HEADER;
+use protocol::codec;
 
 use crate::site::GRACE;
 use crate::site::Machine;
+use crate::site::PEERS;
 use crate::site::REQUESTS;
 use crate::site::TIMEOUT;
 use crate::site::booking;
@@ -202,3 +212,84 @@
         }
     }
 }
+
+fn forwarded(machine: &Machine, id: &str) -> Request {
+    let head = ForwardHead {
+        request: id.into(),
+        fingerprint: base::hash::stable(&[id.as_bytes()]),
+        instance: machine.instance.id.as_str().into(),
+        born: machine.instance.born,
+        service: "bookings".into(),
+        version: "v1".into(),
+        route: "book".into(),
+        repeat: Idempotency::AtMostOnce,
+        rank: 1,
+        left_ms: 2000,
+        full_value_ms: 800,
+        config: 3,
+        limit: None,
+        is_isolated: false,
+        customer: None,
+    };
+    Request::new(Method::POST, "/book/1", "{}")
+        .with_header("x-request-id", id)
+        .with_header(CALL_HEADER, codec::encode_header_value(&head))
+}
+
+/// A daemon whose notice of the stop was lost goes on sending requests to the instance, and the work takes
+/// most of their time. A client's request keeps the process until then.
+#[test]
+fn requests_of_peers_that_have_not_heard_of_the_stop_are_answered() {
+    with_site(24, |site| async move {
+        let machine = Rc::clone(&site.machines[0]);
+        for machine in &site.machines {
+            machine.instance.work.set(Duration::from_millis(1700));
+        }
+        let peer = SocketAddr::new(machine.ip, PEERS);
+        machine.terminate();
+        let stopped = Instant::now();
+        let stopping = Rc::clone(&machine);
+        let end = monoio::spawn(async move { stopping.wait_for_end().await });
+        let mut calls = Vec::new();
+        let mut number = 0_u32;
+        while stopped.elapsed() < GRACE {
+            number += 1;
+            let (target, id) = (Rc::clone(&machine), format!("peer-{number}"));
+            calls.push(monoio::spawn(async move {
+                let conn = Conn::connect(peer, TIMEOUT, Limits::default()).await;
+                let res = conn.ok()?.call(forwarded(&target, &id), TIMEOUT).await;
+                Some((id, res.ok()))
+            }));
+            if number.is_multiple_of(4) {
+                let (own, id) = (Rc::clone(&machine), format!("own-{number}"));
+                monoio::spawn(async move { own.book(&id).await });
+            }
+            monoio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(end.await <= GRACE);
+        let mut answered = 0;
+        for call in calls {
+            // A connection that could not be opened carried no request.
+            let Some((id, res)) = call.await else {
+                continue;
+            };
+            let runs = machine.instance.runs(&id);
+            let Some(res) = res else {
+                assert_eq!(runs, 0, "{id} ran and got no answer");
+                continue;
+            };
+            let reply = res.header(OUTCOME_HEADER).expect("an outcome");
+            let reply: ForwardReply = codec::decode_header_value(reply).expect("readable");
+            match reply.outcome {
+                ForwardOutcome::Answered { .. } => {
+                    answered += 1;
+                    assert_eq!(runs, 1, "{id}");
+                }
+                ForwardOutcome::NotRun(_) => assert_eq!(runs, 0, "{id} was refused and ran"),
+                other => panic!("{id}: {other:?}"),
+            }
+        }
+        assert!(answered > 10, "{answered}");
+        site
+    });
+}
--- a/daemons/bronzehead-sidecar/tests/processes/site.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/site.rs
@@ -58,7 +58,7 @@
 const READY: u16 = 9102;
 const CONTROL: u16 = 9103;
 const INSTANCE: u16 = 9104;
-const PEERS: u16 = 9105;
+pub const PEERS: u16 = 9105;
 const STORE: u16 = 9106;
 
 /// An instance: answers requests after a while, or at their deadline, and records when they arrived.
@@ -67,7 +67,7 @@
     pub arrivals: RefCell<Vec<(Instant, String)>>,
     pub work: Cell<Duration>,
     pub is_beating: Cell<bool>,
-    born: u64,
+    pub born: u64,
     sequence: Cell<u64>,
 }
 
