Soak: instances that deregister first, and kills right after it

The soak's instances always announced that they drain, so that it could not show a departure that a killed daemon forgets. From seed 80000 on they also deregister without that, go on serving, and daemons are killed 5 to 600 ms later, one or all. Earlier seeds keep their plans.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -5,6 +5,7 @@
 //! of clients and instances are checked against the guarantees that the users require. Clock faults
 //! are not injected, since setting the clock needs elevated privileges.
 
+pub mod addresses;
 pub mod checker;
 pub mod clients;
 pub mod instance;
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -59,7 +59,13 @@
 #[derive(Debug, Clone)]
 enum Phase {
     Ready,
-    Draining { acknowledged: Option<Instant> },
+    Draining {
+        acknowledged: Option<Instant>,
+    },
+    /// It has deregistered, sends no heartbeats, and still serves.
+    Deregistered {
+        acknowledged: Option<Instant>,
+    },
     Gone,
 }
 
@@ -175,7 +181,7 @@
         let state = match *self.phase.borrow() {
             Phase::Ready => "ready",
             Phase::Draining { .. } => "draining",
-            Phase::Gone => return false,
+            Phase::Deregistered { .. } | Phase::Gone => return false,
         };
         let name = self.name.borrow().clone();
         let body = wire::heartbeat(
@@ -234,6 +240,28 @@
         self.start_new();
     }
 
+    /// Deregisters, serves on for a while, and starts again under a new name.
+    pub async fn deregister_first(self: Rc<Self>) {
+        if !matches!(*self.phase.borrow(), Phase::Ready) || self.statement.get().is_leaving {
+            return;
+        }
+        *self.phase.borrow_mut() = Phase::Deregistered { acknowledged: None };
+        let path = wire::deregister_path(&self.name());
+        let since = Instant::now();
+        while since.elapsed() < DRAIN_ACK_TIMEOUT {
+            if self.send(&path, String::new()).await {
+                let acknowledged = Some(Instant::now());
+                *self.phase.borrow_mut() = Phase::Deregistered { acknowledged };
+                break;
+            }
+            monoio::time::sleep(HEARTBEAT_INTERVAL / 5).await;
+        }
+        monoio::time::sleep(DRAIN_LINGER * 2).await;
+        *self.phase.borrow_mut() = Phase::Gone;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        self.start_new();
+    }
+
     /// Says in its answers that it leaves, while its heartbeats say that it is ready; then deregisters,
     /// and starts again under a new name.
     pub async fn leave_by_answers(self: Rc<Self>) {
@@ -301,6 +329,9 @@
         }
         if let Phase::Draining {
             acknowledged: Some(at),
+        }
+        | Phase::Deregistered {
+            acknowledged: Some(at),
         } = *self.phase.borrow()
         {
             let mut checker = self.shared.checker.borrow_mut();
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -58,6 +58,9 @@
     /// The instance says in its answers only that it leaves, deregisters, and starts again under a new
     /// name.
     LeaveByAnswers(MachineId),
+    /// The instance deregisters without having announced that it drains, goes on serving for a while, and
+    /// starts again under a new name.
+    Deregister(MachineId),
     /// The instance states this limit in its answers, in tenths of requests a second, for this many
     /// milliseconds.
     LimitRequests(MachineId, u16, u64),
@@ -99,6 +102,7 @@
                 | Self::Rollout { .. }
                 | Self::Drain(_)
                 | Self::LeaveByAnswers(_)
+                | Self::Deregister(_)
                 | Self::LimitRequests(..)
                 | Self::Reload(_)
                 | Self::Restart(_)
@@ -122,6 +126,15 @@
 /// they are listed.
 const FIRST_SEED_WITH_NOTICES: u64 = 10_000;
 
+/// First seed in which instances deregister first, and daemons are killed right after that.
+const FIRST_SEED_WITH_DEPARTURES: u64 = 80_000;
+
+/// Mean time between two departures.
+const DEPARTURE_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Range of the time from a departure to the kill of its daemon, in milliseconds.
+const KILL_DELAY_MS: std::ops::Range<u64> = 5..600;
+
 /// Mean time between two statements.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -169,6 +182,9 @@
     if seed >= FIRST_SEED_WITH_NOTICES {
         steps.extend(draw_notices(seed, plan_kind, length, machines));
     }
+    if seed >= FIRST_SEED_WITH_DEPARTURES {
+        steps.extend(draw_departures(seed, plan_kind, length, machines));
+    }
     steps.sort_by_key(|step| step.at);
     (plan_kind, steps)
 }
@@ -196,6 +212,36 @@
     })
 }
 
+/// Draws instances that deregister first, and in plans with faults kills shortly after.
+fn draw_departures(seed: u64, plan_kind: PlanKind, length: Duration, machines: usize) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += DEPARTURE_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        if at >= length {
+            return steps;
+        }
+        let machine = rng.random_range(0..machines);
+        steps.push(Step {
+            at,
+            action: Action::Deregister(machine),
+        });
+        let kill = match rng.random_range(0..10) {
+            0..6 => Action::Kill(machine),
+            6 => Action::KillAll,
+            _ => continue,
+        };
+        if plan_kind == PlanKind::Mixed {
+            let delay = Duration::from_millis(rng.random_range(KILL_DELAY_MS));
+            steps.push(Step {
+                at: at + delay,
+                action: kill,
+            });
+        }
+    }
+}
+
 fn draw_action(rng: &mut SmallRng, plan_kind: PlanKind, machines: usize) -> Action {
     let machine = rng.random_range(0..machines);
     let ms = rng.random_range(200..2500);
--- a/xtask/src/soak/runner.rs
+++ b/xtask/src/soak/runner.rs
@@ -3,9 +3,6 @@
 
 use std::cell::Cell;
 use std::fs;
-use std::io::ErrorKind;
-use std::net::IpAddr;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -14,13 +11,15 @@
 
 use http_edge::Server;
 use http_edge::ServerCfg;
-use monoio::net::TcpListener;
 use standin_store::StoreService;
 
 use crate::error::Result;
 use crate::error::TaskError;
 use crate::process::Interrupt;
 use crate::process::Signal;
+use crate::soak::addresses::machine_address;
+use crate::soak::addresses::reserve_range;
+use crate::soak::addresses::store_address;
 use crate::soak::checker::Guarantees;
 use crate::soak::clients::Clients;
 use crate::soak::clients::Tally;
@@ -126,35 +125,6 @@
     _server: Server,
 }
 
-/// Number of address ranges for runs; concurrent runs use different ranges.
-const ADDRESS_RANGES: u8 = 128;
-
-/// Reserves an address range by listening at the store address of the range.
-fn reserve_range() -> Result<(u8, TcpListener)> {
-    let first = u8::try_from(std::process::id() % u32::from(ADDRESS_RANGES)).unwrap_or(0);
-    let ranges = (first..ADDRESS_RANGES).chain(0..first);
-    for range in ranges {
-        let address = store_address(range);
-        match http_edge::listen(address) {
-            Ok(listener) => return Ok((range, listener)),
-            Err(e) if e.kind() == ErrorKind::AddrInUse => {}
-            Err(e) => return Err(TaskError::Io(address.to_string(), e)),
-        }
-    }
-    let text = format!("all {ADDRESS_RANGES} ranges of addresses are in use");
-    Err(TaskError::Failed(text))
-}
-
-fn store_address(range: u8) -> SocketAddr {
-    SocketAddr::from(([127, 64 + range, u8::MAX, 1], wire::STORE_PORT))
-}
-
-/// Returns the address of a machine.
-fn machine_address(range: u8, number: usize) -> IpAddr {
-    let part = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
-    IpAddr::from([127, 64 + range, part(number / 200), part(number % 200 + 2)])
-}
-
 impl Run {
     async fn start(options: &Options, interrupt: &Interrupt) -> Result<Self> {
         let store = StoreService::default();
@@ -244,19 +214,22 @@
             self.note_fault_for(RESTART_TIME);
         }
         let machine = |number: usize| Rc::clone(&self.clients.machines[number]);
+        let instance = |number: usize| Rc::clone(&machine(number).instance);
         match action {
             Action::Configure => self.publish_config(),
             Action::Rollout { is_bad } => self.order_rollout(is_bad),
             Action::Drain(number) => {
-                monoio::spawn(Rc::clone(&machine(number).instance).drain());
+                monoio::spawn(instance(number).drain());
             }
             Action::LeaveByAnswers(number) => {
-                monoio::spawn(Rc::clone(&machine(number).instance).leave_by_answers());
+                monoio::spawn(instance(number).leave_by_answers());
+            }
+            Action::Deregister(number) => {
+                monoio::spawn(instance(number).deregister_first());
             }
             Action::LimitRequests(number, tenths, ms) => {
-                let instance = Rc::clone(&machine(number).instance);
-                let per_sec = f64::from(tenths) / 10.0;
-                monoio::spawn(instance.limit_requests(per_sec, Duration::from_millis(ms)));
+                let (per_sec, time) = (f64::from(tenths) / 10.0, Duration::from_millis(ms));
+                monoio::spawn(instance(number).limit_requests(per_sec, time));
             }
             Action::Reload(number) => machine(number).signal(Signal::Reload)?,
             Action::Restart(number) => {
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -37,12 +37,13 @@
 
 const TEST_ARGS: &[&str] = &["test", "--locked", "--workspace", "--no-fail-fast"];
 
-/// A short soak run: one seed with planned operations only and two with all faults.
+/// First seeds of the short soak runs, each of one seed with planned operations only and two with all faults;
+/// in the second one instances deregister first, and daemons are killed right after that.
+const SOAK_SEEDS: [&str; 2] = ["3", "80001"];
+
 const SOAK_ARGS: &[&str] = &[
     "xtask",
     "soak",
-    "--seed",
-    "3",
     "--seeds",
     "3",
     "--for",
@@ -51,6 +52,7 @@
     "8",
     "--debug",
     "--untimed",
+    "--seed",
 ];
 
 /// Numbers of passed and failed checks and tests.
@@ -98,8 +100,12 @@
     }
     tally.record("tidy", findings.is_empty());
     run_tests(&known_failures, tally)?;
-    let status = run_lines(cargo(SOAK_ARGS), |line| println!("{line}"))?;
-    tally.record("soak", status.success());
+    for seed in SOAK_SEEDS {
+        let mut command = cargo(SOAK_ARGS);
+        command.arg(seed);
+        let status = run_lines(command, |line| println!("{line}"))?;
+        tally.record("soak", status.success());
+    }
     Ok(())
 }
 
