Drop the waker of a task with its wait

Cause: each connection waits for the latch that is set when its server closes, at the end of the process. The latch kept the wakers of all that had ever waited, a waker keeps the memory of its task, and the task that of the connection.

Change: base::wakers holds the wakers by wait and drops one with its wait.

Why it works: nothing is registered any longer on behalf of a task that has stopped waiting.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod streams;
 pub mod units;
+pub mod wakers;
 
 pub use collections::FastMap;
 pub use collections::FastSet;
--- a/crates/base/src/tests.rs
+++ b/crates/base/src/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of units and of the stable hash.
 
+use std::task::Context;
+use std::task::Waker;
+
 use std::time::Duration;
 
 use crate::hash;
@@ -8,6 +11,7 @@
 use crate::units::parse_duration;
 use crate::units::parse_size;
 use crate::units::parse_time;
+use crate::wakers::Wakers;
 
 #[test]
 fn durations_need_a_unit() {
@@ -45,3 +49,21 @@
 fn hash_depends_on_the_boundaries_of_parts() {
     assert_ne!(hash::stable(&[b"ab", b"c"]), hash::stable(&[b"a", b"bc"]));
 }
+
+#[test]
+fn the_waker_of_a_wait_is_dropped_with_it() {
+    let wakers = Wakers::default();
+    let cx = Context::from_waker(Waker::noop());
+    let (first, second) = (wakers.waiter(), wakers.waiter());
+    first.register(&cx);
+    second.register(&cx);
+    second.register(&cx);
+    assert_eq!(wakers.len(), 2);
+    drop(second);
+    assert_eq!(wakers.len(), 1);
+    wakers.wake_all();
+    assert!(wakers.is_empty());
+    drop(first);
+    wakers.waiter().register(&cx);
+    assert!(wakers.is_empty());
+}
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -5,7 +5,8 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::Poll;
-use std::task::Waker;
+
+use base::wakers::Wakers;
 
 /// Number of a value; increases by one with each [`Watch::set`].
 pub type Revision = u64;
@@ -20,7 +21,7 @@
 struct Inner<T> {
     value: RefCell<Rc<T>>,
     revision: Cell<Revision>,
-    wakers: RefCell<Vec<Waker>>,
+    wakers: Wakers,
 }
 
 impl<T> Clone for Watch<T> {
@@ -44,7 +45,7 @@
         let inner = Inner {
             value: RefCell::new(Rc::new(value)),
             revision: Cell::new(0),
-            wakers: RefCell::default(),
+            wakers: Wakers::default(),
         };
         Self {
             inner: Rc::new(inner),
@@ -67,20 +68,17 @@
     pub fn set(&self, value: T) {
         *self.inner.value.borrow_mut() = Rc::new(value);
         self.inner.revision.set(self.inner.revision.get() + 1);
-        let wakers = self.inner.wakers.take();
-        wakers.into_iter().for_each(Waker::wake);
+        self.inner.wakers.wake_all();
     }
 
     /// Waits for a value newer than revision `seen` and returns its revision.
     pub async fn changed_since(&self, seen: Revision) -> Revision {
+        let waiter = self.inner.wakers.waiter();
         poll_fn(|cx| {
             if self.revision() > seen {
                 return Poll::Ready(self.revision());
             }
-            let mut wakers = self.inner.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-                wakers.push(cx.waker().clone());
-            }
+            waiter.register(cx);
             Poll::Pending
         })
         .await
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod endless;
 mod fuzz;
+mod latch;
 mod requests;
 mod responses;
 mod support;
