--- a/crates/base/src/tests.rs
+++ b/crates/base/src/tests.rs
@@ -2,7 +2,6 @@
 
 use std::task::Context;
 use std::task::Waker;
-
 use std::time::Duration;
 
 use crate::hash;
