--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -42,7 +42,6 @@
 use mesh::quarantine;
 use mesh::quarantine::Quarantine;
 use mesh::retry_budgets::RetryBudgets;
-use mesh::shutdown::Expectation;
 use mesh::shutdown::Shutdown;
 use mesh::table::ActiveTable;
 use mesh::table::Adoption;
@@ -307,20 +306,6 @@
             .emit(EventClass::State, event, Instant::now(), fields);
     }
 
-    /// Returns whether the platform should send clients to this daemon: it is not stopping, and has
-    /// a configuration and the members.
-    pub fn is_ready(&self) -> bool {
-        !self.stopping.is_set()
-            && self.active_table.borrow().current().is_some()
-            && self.has_loaded_members.get()
-    }
-
-    /// Whether the process may end before a request has its answer.
-    pub fn ends_before(&self, expected: Expectation) -> bool {
-        let shutdown = self.shutdown.get();
-        shutdown.is_some_and(|shutdown| !shutdown.leaves_time_for(expected, Instant::now()))
-    }
-
     /// Returns the service of the local instance from its last heartbeat, or from the settings
     /// before the first one.
     pub fn own_service(&self) -> ServiceName {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,6 +23,7 @@
 use mesh::config::Rank;
 use mesh::election::strength;
 use mesh::rate_limit::RequestRate;
+use mesh::shutdown::Expectation;
 use mesh::shutdown::Shutdown;
 use protocol::call::NotRunReason;
 use report::metrics::Metrics;
@@ -364,6 +365,20 @@
 }
 
 impl Node {
+    /// Returns whether the platform should send clients to this daemon: it is not stopping, and has
+    /// a configuration and the members.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.is_set()
+            && self.active_table.borrow().current().is_some()
+            && self.has_loaded_members.get()
+    }
+
+    /// Whether the process may end before a request has its answer.
+    pub fn ends_before(&self, expected: Expectation) -> bool {
+        let shutdown = self.shutdown.get();
+        shutdown.is_some_and(|shutdown| !shutdown.leaves_time_for(expected, Instant::now()))
+    }
+
     /// Reloads the settings. If they are invalid, the current ones stay in force.
     fn reload(&self, is_requested: bool) {
         match BootConfig::load() {
