Ask the instance whether it stays while the store is away at a start

What callers saw: with departures that only the store can tell, a daemon that started while the store was away served its instance after two heartbeats, up to 3 s late.

Change: 200 ms after such a start the daemon asks the instance by a health probe. The answer says whether it is healthy and not leaving, and which instance it is; one that stays is served at once. Otherwise two heartbeats are awaited as before. A start with the store costs no probe.

Ruled out: to trust what peers hold. They may have missed the word that the instance leaves, which is why only the store acknowledges it.

The new test fails without the probe: no request is served before the next heartbeat.

--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -139,6 +139,8 @@
     first_heard: Option<Instant>,
     last_heard: Instant,
     is_unreachable: bool,
+    /// Whether a health probe has shown that it stays.
+    is_healthy: bool,
 }
 
 impl LocalInstance {
@@ -190,6 +192,7 @@
             first_heard: Some(now),
             last_heard: now,
             is_unreachable: false,
+            is_healthy: false,
         });
         Change::Told
     }
@@ -217,10 +220,28 @@
             first_heard: None,
             last_heard: now,
             is_unreachable: false,
+            is_healthy: false,
         });
         Change::Told
     }
 
+    /// Returns the instance if only the store, or the instance itself, can tell whether it stays.
+    #[must_use]
+    pub fn unconfirmed(&self) -> Option<InstanceKey> {
+        let state = self.current.as_ref()?;
+        let is_known = self.departures.has_read_store() || state.is_healthy || self.is_leaving();
+        (!is_known).then(|| state.heartbeat.key())
+    }
+
+    /// Records that an incarnation of the instance has answered a health probe as one that stays.
+    pub fn record_healthy(&mut self, key: &InstanceKey) {
+        if let Some(state) = &mut self.current
+            && state.heartbeat.key() == *key
+        {
+            state.is_healthy = true;
+        }
+    }
+
     /// Takes over from the announcement of an earlier process of this daemon which incarnation of the
     /// instance is leaving.
     pub fn restore_leaving(&mut self, key: InstanceKey) -> Change {
@@ -325,7 +346,9 @@
         let is_serving = !self.is_leaving()
             && !state.is_unreachable
             && since_last_heard <= heartbeat_interval * MAX_MISSED_HEARTBEATS
-            && (self.departures.has_read_store() || state.is_confirmed(heartbeat_interval));
+            && (self.departures.has_read_store()
+                || state.is_healthy
+                || state.is_confirmed(heartbeat_interval));
         is_serving.then_some(&state.heartbeat)
     }
 }
--- a/crates/sidecar/src/cold.rs
+++ b/crates/sidecar/src/cold.rs
@@ -83,7 +83,7 @@
 
 impl Node {
     /// Returns what the configuration in force says about the service of the local instance.
-    fn own_service_cfg(&self) -> Option<Service> {
+    pub(crate) fn own_service_cfg(&self) -> Option<Service> {
         let table = self.active_table.borrow();
         table.current()?.service(&self.own_service()).cloned()
     }
--- a/crates/sidecar/src/departures.rs
+++ b/crates/sidecar/src/departures.rs
@@ -27,6 +27,8 @@
 use users_platform::StoreError;
 use users_platform::Topic;
 use users_platform::heartbeat;
+use users_platform::requests;
+use users_platform::responses;
 
 use crate::node::Node;
 use crate::node::SharedNode;
@@ -54,6 +56,18 @@
 /// Peers that are asked to write.
 const PEER_WRITERS: usize = 2;
 
+/// Time after the start in which the store tells what earlier processes acknowledged, unless it is away.
+const FIRST_PROBE_DELAY: Duration = Duration::from_millis(200);
+
+/// Interval at which a daemon without the store checks whether its instance is to be asked.
+const CONFIRM_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Timeout of a health probe, which waits for a slot as requests do.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause after a probe that did not show that the instance stays.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Stores the departures that the store lacks, until it holds all. At most one such task runs.
 pub fn store_departures(node: &SharedNode) {
     let has_news = !node.local.borrow().departures().unstored().is_empty();
@@ -94,6 +108,31 @@
     node.is_storing_departures.set(false);
 }
 
+/// While the store is away, asks the instance whether it stays, until it says so. Runs until the departures of
+/// earlier processes have been read.
+pub async fn confirm_instance(node: SharedNode) {
+    monoio::time::sleep(FIRST_PROBE_DELAY).await;
+    while !node.local.borrow().departures().has_read_store() {
+        let unconfirmed = node.local.borrow().unconfirmed();
+        let path = node.own_service_cfg().and_then(|cfg| cfg.health_path);
+        if let (Some(key), Some(path)) = (unconfirmed, path) {
+            let req = |address| requests::health_probe(&path, address);
+            let answered = node.dispatcher.call_instance(req, PROBE_TIMEOUT).await;
+            let is_staying = answered.is_ok_and(|res| responses::is_staying(&res, &key.id));
+            node.log_state(
+                "instance-probed",
+                || json!({ "instance": key.id, "born": key.born, "stays": is_staying }),
+            );
+            if is_staying {
+                node.local.borrow_mut().record_healthy(&key);
+            } else {
+                monoio::time::sleep(PROBE_INTERVAL).await;
+            }
+        }
+        monoio::time::sleep(CONFIRM_POLL_INTERVAL).await;
+    }
+}
+
 impl Node {
     /// Acknowledges to the local instance that it leaves, once the store holds that. Otherwise refuses
     /// the call, so that nobody is bound by it; the instance gets no new requests all the same.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -40,6 +40,7 @@
 use crate::cold;
 use crate::control::HeartbeatHandler;
 use crate::control::ReadyHandler;
+use crate::departures;
 use crate::dispatcher::QUEUE_CHECK_INTERVAL;
 use crate::forward::PeerHandler;
 use crate::gossip;
@@ -249,6 +250,9 @@
     monoio::spawn(knowledge::keep_proved(Rc::clone(node)));
     monoio::spawn(announce::announce(Rc::clone(node)));
     monoio::spawn(announce::write_for_zone(Rc::clone(node)));
+    if !boot.is_first_start {
+        monoio::spawn(departures::confirm_instance(Rc::clone(node)));
+    }
     monoio::spawn(move_controller::decide_moves(Rc::clone(node)));
     monoio::spawn(quarantine::evaluate_crashes(Rc::clone(node)));
     caps::spawn(node);
--- a/daemons/bronzehead-sidecar/tests/processes/departures.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/departures.rs
@@ -5,9 +5,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http_edge::Response;
+use mesh::wire::ForwardOutcome;
+
 use crate::site::HEARTBEAT_INTERVAL;
 use crate::site::Machine;
+use crate::site::PEERS;
 use crate::site::Site;
+use crate::site::TIMEOUT;
+use crate::site::call;
+use crate::site::outcome;
 use crate::site::with_site;
 use crate::site::with_sites;
 
@@ -33,6 +40,7 @@
     site.send_requests();
     monoio::time::sleep(HEARTBEAT_INTERVAL).await;
     first.instance.is_beating.set(false);
+    first.instance.is_staying.set(false);
     let is_acknowledged = match leaving {
         Leaving::Deregisters => first.deregister().await,
         Leaving::Drains => first.send_heartbeat("draining", first.sequence() + 1).await,
@@ -141,6 +149,32 @@
     });
 }
 
+/// A restart must not take an instance away for longer where the store cannot tell what earlier processes
+/// acknowledged.
+#[test]
+fn an_instance_that_stays_serves_before_its_next_heartbeat_though_the_store_is_away() {
+    with_site(15, |site| async move {
+        let first = &site.machines[0];
+        for machine in &site.machines {
+            machine.store.faults().is_down.set(true);
+        }
+        first.instance.is_beating.set(false);
+        first.kill();
+        first.start();
+        let started = Instant::now();
+        first.wait_ready().await;
+        let is_served = |res: Option<Response>| {
+            res.is_some_and(|res| matches!(outcome(&res), ForwardOutcome::Answered { .. }))
+        };
+        let send = || call(first.ip, PEERS, first.forwarded("after-start"), TIMEOUT);
+        while !is_served(send().await) {
+            assert!(started.elapsed() < HEARTBEAT_INTERVAL, "no requests");
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+        site
+    });
+}
+
 /// The departure of an instance that the process did not know was acknowledged and ignored.
 #[test]
 fn a_departure_reaches_a_process_that_does_not_know_the_instance() {
@@ -148,6 +182,7 @@
         let first = &site.machines[0];
         site.send_requests();
         first.instance.is_beating.set(false);
+        first.instance.is_staying.set(false);
         first.store.faults().is_silent.set(true);
         first.kill();
         first.start();
@@ -175,6 +210,7 @@
         let first = &site.machines[0];
         site.send_requests();
         first.instance.is_beating.set(false);
+        first.instance.is_staying.set(false);
         for machine in &site.machines {
             machine.store.faults().is_down.set(true);
         }
