Soak: a suspended process that is stopped goes on

Cause, by the plan and the logs: machine 9 was suspended at 4.78 s and got SIGTERM at 5.40 s. The stop took the process away from the pause, which then continued nobody; the log of machine 9 has no line of a stop. Its listener went on accepting clients in the kernel.

The soak now lets the process go on with the signal. No check changes.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -53,6 +53,10 @@
     ),
     (10_000, "same cause as 9107"),
     (10_002, "same cause as 9107"),
+    (
+        80_117,
+        "the soak stopped a suspended process and never let it go on, so that clients of its machine waited in vain",
+    ),
 ];
 
 /// Returns the definition of the subcommand.
--- a/xtask/src/soak/machine.rs
+++ b/xtask/src/soak/machine.rs
@@ -200,6 +200,8 @@
         };
         let since = Instant::now();
         process.signal(Signal::Terminate)?;
+        // A suspended process acts on the signal once it goes on, and is no longer found by the pause.
+        process.signal(Signal::Continue)?;
         while process.exit_status().is_none() && since.elapsed() < GRACE_PERIOD * 2 {
             monoio::time::sleep(POLL_INTERVAL).await;
         }
