Tests of mesh: one fixture of a heartbeat

The tests of departures had a copy of the heartbeat of the instance's tests, and of its interval. They use that one; no assertion changes. Formatter, Clippy of mesh and these 15 tests pass; the whole script was not run again.

--- a/crates/mesh/src/tests/departures.rs
+++ b/crates/mesh/src/tests/departures.rs
@@ -7,14 +7,13 @@
 
 use crate::departures::Departures;
 use crate::instance::Change;
-use crate::instance::Heartbeat;
 use crate::instance::InstanceKey;
 use crate::instance::LocalInstance;
 use crate::instance::Phase;
+use crate::tests::instance::HEARTBEAT_INTERVAL;
+use crate::tests::instance::heartbeat;
 use crate::wire::InstanceInfo;
 
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
-
 fn key(id: &str, born: u64) -> InstanceKey {
     InstanceKey {
         id: id.into(),
@@ -22,20 +21,6 @@
     }
 }
 
-fn heartbeat(born: u64, sequence: u64, phase: Phase) -> Heartbeat {
-    Heartbeat {
-        id: "i-1".into(),
-        born,
-        sequence,
-        service: "bookings".into(),
-        version: "v1".into(),
-        address: "10.0.0.1:80".into(),
-        slots: 8,
-        phase,
-        cold_left: Duration::ZERO,
-    }
-}
-
 #[test]
 fn a_departure_holds_for_the_incarnations_of_its_instance_until_then() {
     let mut departures = Departures::default();
--- a/crates/mesh/src/tests/instance.rs
+++ b/crates/mesh/src/tests/instance.rs
@@ -16,12 +16,12 @@
 use crate::wire::InstanceInfo;
 use crate::wire::Member;
 
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// Time of day of calls that state none.
 const WALL: UnixMillis = 1000;
 
-fn heartbeat(born: u64, sequence: u64, phase: Phase) -> Heartbeat {
+pub(super) fn heartbeat(born: u64, sequence: u64, phase: Phase) -> Heartbeat {
     Heartbeat {
         id: "i-1".into(),
         born,
