--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,7 +23,7 @@
 TIME_BUDGET_MS = 6000
 PER_S, SENDING_S = 20, 16.0
 # Part of the requesters that leave, and for how long, as in the site files (`give_up`).
-LEAVING_PART, LEAVING_FROM_S, LEAVING_FOR_S = 0.2, 5.0, 5.5
+LEAVING_ONE_IN, LEAVING_FROM_S, LEAVING_FOR_S = 5, 5.0, 5.5
 ALLOWED_S, ALLOWED_PART, A_FEW = 0.5, 0.25, 5
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RESETS = os.environ.get("LEAVE", "reset") == "reset"
@@ -82,7 +82,7 @@
     left, tasks = {}, []
     for number in range(int(PER_S * SENDING_S)):
         in_time = 0.0 <= number / PER_S - LEAVING_FROM_S < LEAVING_FOR_S
-        leaves = HAS_TROUBLE and in_time and random.random() < LEAVING_PART
+        leaves = HAS_TROUBLE and in_time and number % LEAVING_ONE_IN == 0
         tasks.append(asyncio.ensure_future(send(dep, random.choice(front), leaves, left)))
         await asyncio.sleep(1.0 / PER_S)
     await asyncio.gather(*tasks)
