Log each rejection by an instance, with what tells a copy from a new one

The hypotheses of the incident differ in what rejected a request, and no line said it: a repeat was logged without its reason, and the final refusal names neither the instance's status nor the connection. instance-rejected has the status, whether the response states that the request did not run, whether the instance had rejected the same request before, and the age of the connection. No decision changes.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -258,6 +258,12 @@
             self.log_mismatch(head, &res);
             return Dispatched::without_answer(ForwardOutcome::Unknown);
         }
+        if matches!(
+            answer,
+            InstanceResponse::NotRun | InstanceResponse::Misdirected
+        ) {
+            self.log_rejection(head, &res, &conn, took);
+        }
         self.dispatcher.conns.put(conn);
         if answer != InstanceResponse::Misdirected {
             self.apply_notice(head, answer, responses::decode_notice(&res), sent_at);
@@ -291,6 +297,26 @@
         }
     }
 
+    /// Logs that the instance rejected a request, with what tells a copy of an earlier rejection from a new one.
+    fn log_rejection(&self, head: &ForwardHead, res: &Response, conn: &Conn, took: Duration) {
+        self.event_log.emit(
+            EventClass::Failure,
+            "instance-rejected",
+            Instant::now(),
+            || {
+                json!({
+                    "request": head.request,
+                    "instance": head.instance,
+                    "status": res.status.as_u16(),
+                    "stated": responses::states_not_run(res),
+                    "rejected_before": self.dispatcher.has_refused(&head.request),
+                    "conn_age_ms": conn.opened_at().elapsed().as_millis(),
+                    "took_ms": took.as_millis(),
+                })
+            },
+        );
+    }
+
     /// Logs an answer that is not that of the request. What it says of the request's outcome counts for nothing.
     fn log_mismatch(&self, head: &ForwardHead, res: &Response) {
         self.event_log.emit(
--- a/crates/sidecar/src/dispatcher.rs
+++ b/crates/sidecar/src/dispatcher.rs
@@ -200,13 +200,18 @@
     /// connection of the refusal a copy of it would look like the answer.
     pub(crate) async fn connection_for(&self, id: &SmolStr) -> Result<Conn, ConnectError> {
         let address = self.instance.get();
-        if self.refused.borrow().contains(id) {
+        if self.has_refused(id) {
             self.conns.connect_new(address).await
         } else {
             self.conns.take(address).await
         }
     }
 
+    /// Whether the instance has refused the request before.
+    pub(crate) fn has_refused(&self, id: &SmolStr) -> bool {
+        self.refused.borrow().contains(id)
+    }
+
     pub(crate) fn record_refusal(&self, id: &SmolStr) {
         self.refused.borrow_mut().record(id);
     }
