--- a/crates/sidecar/tests/end_to_end/faulty_instances.rs
+++ b/crates/sidecar/tests/end_to_end/faulty_instances.rs
@@ -1,4 +1,5 @@
-//! An instance that repeats an earlier refusal on a kept connection, or stops in the middle of an answer's head.
+//! An instance that repeats an earlier refusal on a kept connection, contradicts itself on whether a request ran, or
+//! stops in the middle of an answer's head.
 
 use std::io::Read;
 use std::io::Write;
@@ -44,6 +45,8 @@
     Refuse(u16, Echo),
     /// Runs it, and writes the last refusal on the connection once more before the answer.
     RepeatRefusal,
+    /// Runs it, and answers with this status, with or without the statement that it did not run.
+    Contradict(u16, Statement),
     /// Runs it, and closes the connection after this many bytes of the answer.
     Cut(usize),
 }
@@ -54,6 +57,12 @@
     Nothing,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Statement {
+    Made,
+    Missing,
+}
+
 /// An instance in threads of its own.
 #[derive(Default)]
 struct FaultyInstance {
@@ -99,6 +108,8 @@
             let sent = match step {
                 Step::RepeatRefusal => [last_refusal.as_slice(), &answer].concat(),
                 Step::Cut(bytes) => answer[..bytes].to_vec(),
+                Step::Contradict(status, Statement::Made) => refusal(status, Some(&id)),
+                Step::Contradict(status, Statement::Missing) => answer_with(status, &id),
                 Step::Answer | Step::Refuse(..) => answer,
             };
             if stream.write_all(&sent).is_err() || matches!(step, Step::Cut(_)) {
@@ -134,8 +145,12 @@
 }
 
 fn answer(id: &str) -> Vec<u8> {
+    answer_with(200, id)
+}
+
+fn answer_with(status: u16, id: &str) -> Vec<u8> {
     let length = BODY.len();
-    format!("HTTP/1.1 200 OK\r\nx-response-stamp: s\r\ncontent-length: {length}\r\nx-request-id: {id}\r\n\r\n{BODY}")
+    format!("HTTP/1.1 {status} OK\r\nx-response-stamp: s\r\ncontent-length: {length}\r\nx-request-id: {id}\r\n\r\n{BODY}")
         .into_bytes()
 }
 
@@ -240,6 +255,34 @@
     });
 }
 
+/// Fault seen: a request that ran was answered with a status that promises that it did not.
+#[test]
+fn an_instance_that_contradicts_itself_has_no_request_refused_or_repeated() {
+    with_faulty_instance(100, |instance, address| async move {
+        for (status, statement) in [
+            (503, Statement::Missing),
+            (429, Statement::Missing),
+            (408, Statement::Missing),
+            (421, Statement::Missing),
+            (200, Statement::Made),
+        ] {
+            let id = format!("contradicted-{status}");
+            // As often as the daemon may send it.
+            instance.plan(&[Step::Contradict(status, statement); 4]);
+            let res = call(address, Method::POST, &id).await;
+            instance.plan(&[]);
+            let runs = instance.run_count(&id);
+            assert_eq!(runs, 1, "{status}, {statement:?}: runs");
+            let is_promise = PROMISES.contains(&res.status.as_u16());
+            assert!(
+                !is_promise,
+                "{status}, {statement:?}: ran, and got {}",
+                res.status
+            );
+        }
+    });
+}
+
 /// Holds on the code before this test, too: a head or a body that ends early is never passed on.
 #[test]
 fn an_answer_that_ends_early_is_no_success() {
