A status promises that a request did not run only with the instance's statement

Clients got 503, 429 or 408 for requests that an instance had run, and a 421 sent them to run again (3 runs, then 503).

The daemon passed on the status of any response, and took a 421 with or without the header for a rejection. Only the header states that a request did not run; the status is what the client reads. A response whose status promises it while the header is missing now leaves the outcome unknown: 502 for a request that may run once, a repeat within the budget for others. So does a success that carries the header. The instance's failure counts as before for its health, its speed and the verdict on its version; answer-contradictory logs it.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -279,13 +279,13 @@
                 self.refuse(NotRunReason::WrongVersion)
             }
             InstanceResponse::Mismatched => Dispatched::without_answer(ForwardOutcome::Unknown),
+            InstanceResponse::Contradictory => {
+                self.record_run(head, slot, took, true);
+                self.log_contradiction(head, &res);
+                Dispatched::without_answer(ForwardOutcome::Unknown)
+            }
             InstanceResponse::Done | InstanceResponse::Failed => {
-                self.record_quarantine_answer(head.fingerprint);
-                let is_failure = answer == InstanceResponse::Failed;
-                self.dispatcher.record_latency(self, head, took, is_failure);
-                let sample = EvidenceSample::Answer { took, is_failure };
-                self.dispatcher.record_evidence(self, head, sample);
-                slot.finish(took);
+                self.record_run(head, slot, took, answer == InstanceResponse::Failed);
                 responses::prepare_for_client(&mut res);
                 Dispatched {
                     outcome: ForwardOutcome::Answered {
@@ -297,6 +297,38 @@
         }
     }
 
+    /// Records what a response that came for a request shows of the instance and its version.
+    fn record_run(
+        &self,
+        head: &ForwardHead,
+        slot: SlotGuard<'_>,
+        took: Duration,
+        is_failure: bool,
+    ) {
+        self.record_quarantine_answer(head.fingerprint);
+        self.dispatcher.record_latency(self, head, took, is_failure);
+        let sample = EvidenceSample::Answer { took, is_failure };
+        self.dispatcher.record_evidence(self, head, sample);
+        slot.finish(took);
+    }
+
+    /// Logs a response whose status and statement disagree on whether the request ran.
+    fn log_contradiction(&self, head: &ForwardHead, res: &Response) {
+        self.event_log.emit(
+            EventClass::Failure,
+            "answer-contradictory",
+            Instant::now(),
+            || {
+                json!({
+                    "request": head.request,
+                    "instance": head.instance,
+                    "status": res.status.as_u16(),
+                    "stated": responses::states_not_run(res),
+                })
+            },
+        );
+    }
+
     /// Logs that the instance rejected a request, with what tells a copy of an earlier rejection from a new one.
     fn log_rejection(&self, head: &ForwardHead, res: &Response, conn: &Conn, took: Duration) {
         self.event_log.emit(
