--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -57,6 +57,11 @@
         80_117,
         "the soak stopped a suspended process and never let it go on, so that clients of its machine waited in vain",
     ),
+    (
+        60_026,
+        "a rejection without the id of its request counted for the request that was sent last, which ran",
+    ),
+    (60_028, "same cause as 60026"),
 ];
 
 /// Returns the definition of the subcommand.
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -375,6 +375,16 @@
         if behaviour == Behaviour::Fails && draw < 80 {
             return repeated_refusal(draw);
         }
+        if behaviour == Behaviour::Fails && draw < 84 {
+            // The request ran, and nothing but the status says that it did not.
+            let status = [
+                StatusCode::SERVICE_UNAVAILABLE,
+                StatusCode::TOO_MANY_REQUESTS,
+                StatusCode::REQUEST_TIMEOUT,
+                StatusCode::MISDIRECTED_REQUEST,
+            ][(draw % 4) as usize];
+            return answer(status, Vec::new());
+        }
         answer(StatusCode::OK, wire::body_of(&id)).with_header(wire::RESPONSE_STAMP, &id)
     }
 }
