An answer of another instance says nothing of the local one

A 421 without the header that states that the request did not run comes from another instance at the address. Since it counted as an answer of the local instance that failed: its notices were taken (one that says that it leaves took the sound instance out, and the next request got 503), and it counted against the version.

--- a/crates/sidecar/tests/end_to_end/faulty_instances.rs
+++ b/crates/sidecar/tests/end_to_end/faulty_instances.rs
@@ -45,6 +45,8 @@
     Refuse(u16, Echo),
     /// Runs it, and writes the last refusal on the connection once more before the answer.
     RepeatRefusal,
+    /// Does not run it, and answers as another instance, which is leaving, without the statement.
+    AnswerAsOther,
     /// Runs it, and answers with this status, with or without the statement that it did not run.
     Contradict(u16, Statement),
     /// Runs it, and closes the connection after this many bytes of the answer.
@@ -103,6 +105,10 @@
                 let _ = stream.write_all(&last_refusal);
                 continue;
             }
+            if step == Step::AnswerAsOther {
+                let _ = stream.write_all(&answer_of_other(&id));
+                continue;
+            }
             self.runs.lock().unwrap().push(id.clone());
             let answer = answer(&id);
             let sent = match step {
@@ -110,7 +116,7 @@
                 Step::Cut(bytes) => answer[..bytes].to_vec(),
                 Step::Contradict(status, Statement::Made) => refusal(status, Some(&id)),
                 Step::Contradict(status, Statement::Missing) => answer_with(status, &id),
-                Step::Answer | Step::Refuse(..) => answer,
+                Step::Answer | Step::AnswerAsOther | Step::Refuse(..) => answer,
             };
             if stream.write_all(&sent).is_err() || matches!(step, Step::Cut(_)) {
                 return;
@@ -144,6 +150,13 @@
         .into_bytes()
 }
 
+fn answer_of_other(id: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 421 No\r\nx-request-id: {id}\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
 fn answer(id: &str) -> Vec<u8> {
     answer_with(200, id)
 }
@@ -255,6 +268,19 @@
     });
 }
 
+/// Fault seen: a daemon took its own instance for a leaving one, since another one at its address had said so.
+#[test]
+fn an_answer_of_another_instance_says_nothing_of_the_local_one() {
+    with_faulty_instance(103, |instance, address| async move {
+        instance.plan(&[Step::AnswerAsOther]);
+        call(address, Method::POST, "misdirected").await;
+        for n in 0..10 {
+            let res = call(address, Method::POST, &format!("after-{n}")).await;
+            assert_eq!(res.status, StatusCode::OK, "{n}");
+        }
+    });
+}
+
 /// Fault seen: a request that ran was answered with a status that promises that it did not.
 #[test]
 fn an_instance_that_contradicts_itself_has_no_request_refused_or_repeated() {
