A request that may run once goes to an instance once, also after a rejection

The request was sent again to an instance that had rejected it, over a new connection. Where a copy of the rejection came on that connection, it counted for the run: 3 runs, then 503. The class of the incident: a promise taken from what is not the statement about this sending. Nothing in a response tells the two sendings apart, so there is one: after a rejection such a request goes to instances that have not had it, as far as its route allows, and is refused then, truthfully.

--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -421,10 +421,11 @@
     /// so.
     fn may_retry(&self, state: &RequestState, last: LastAttempt) -> bool {
         let now = Instant::now();
-        // An instance that rejected a request may get it again; one that lost it may not.
-        let is_limited = match last {
-            LastAttempt::Rejected => state.sends >= MAX_SENDS,
-            LastAttempt::Lost => !state.has_instances_left(),
+        // An instance that rejected a request may get it again, unless the request may run only once: a copy of
+        // the rejection would look like that of the second sending, which ran.
+        let is_limited = match (last, state.route.repeat) {
+            (LastAttempt::Rejected, Idempotency::Idempotent) => state.sends >= MAX_SENDS,
+            _ => !state.has_instances_left(),
         };
         if is_limited || now >= state.deadline {
             return false;
--- a/crates/sidecar/tests/end_to_end/faulty_instances.rs
+++ b/crates/sidecar/tests/end_to_end/faulty_instances.rs
@@ -1,6 +1,7 @@
 //! An instance that repeats an earlier refusal on a kept connection, contradicts itself on whether a request ran, or
 //! stops in the middle of an answer's head.
 
+use std::collections::HashMap;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -45,6 +46,8 @@
     Refuse(u16, Echo),
     /// Runs it, and writes the last refusal on the connection once more before the answer.
     RepeatRefusal,
+    /// Runs it, and writes its own earlier refusal, from whichever connection, before the answer.
+    RepeatOwnRefusal,
     /// Does not run it, and answers as another instance, which is leaving, without the statement.
     AnswerAsOther,
     /// Runs it, and answers with this status, with or without the statement that it did not run.
@@ -69,6 +72,8 @@
 #[derive(Default)]
 struct FaultyInstance {
     steps: Mutex<Vec<Step>>,
+    /// Refusals by the id of their request.
+    refusals: Mutex<HashMap<String, Vec<u8>>>,
     runs: Mutex<Vec<String>>,
 }
 
@@ -102,6 +107,8 @@
             let step = self.steps.lock().unwrap().pop().unwrap_or(Step::Answer);
             if let Step::Refuse(status, echo) = step {
                 last_refusal = refusal(status, (echo == Echo::Id).then_some(id.as_str()));
+                let copy = last_refusal.clone();
+                self.refusals.lock().unwrap().insert(id, copy);
                 let _ = stream.write_all(&last_refusal);
                 continue;
             }
@@ -113,6 +120,10 @@
             let answer = answer(&id);
             let sent = match step {
                 Step::RepeatRefusal => [last_refusal.as_slice(), &answer].concat(),
+                Step::RepeatOwnRefusal => {
+                    let refusals = self.refusals.lock().unwrap();
+                    [refusals[&id].as_slice(), &answer].concat()
+                }
                 Step::Cut(bytes) => answer[..bytes].to_vec(),
                 Step::Contradict(status, Statement::Made) => refusal(status, Some(&id)),
                 Step::Contradict(status, Statement::Missing) => answer_with(status, &id),
@@ -268,6 +279,34 @@
     });
 }
 
+/// Fault seen: an instance got a request that may run once again after it had refused it, and its first refusal
+/// counted for the run.
+#[test]
+fn a_copy_of_a_refusal_on_another_connection_is_not_taken_for_that_of_the_run() {
+    with_faulty_instance(102, |instance, address| async move {
+        for status in [503, 429] {
+            let id = format!("copied-{status}");
+            // As often as the daemon may send it again.
+            instance.plan(&[
+                Step::Refuse(status, Echo::Id),
+                Step::RepeatOwnRefusal,
+                Step::RepeatOwnRefusal,
+                Step::RepeatOwnRefusal,
+            ]);
+            let res = call(address, Method::POST, &id).await;
+            instance.plan(&[]);
+            let runs = instance.run_count(&id);
+            assert!(runs <= 1, "{status}: {runs} runs");
+            let is_promise = PROMISES.contains(&res.status.as_u16());
+            assert!(
+                !is_promise || runs == 0,
+                "{status}: ran, and got {}",
+                res.status
+            );
+        }
+    });
+}
+
 /// Fault seen: a daemon took its own instance for a leaving one, since another one at its address had said so.
 #[test]
 fn an_answer_of_another_instance_says_nothing_of_the_local_one() {
