Count calls of repeated runs in the retry budget of the service called

Hypotheses: (1) the daemons spend more on their own retries there than their part; (2) the calls of runs after a rejection, which no budget counts, make up the difference.

Change: the head of an attempt says whether it is a repeat. The daemon beside an instance knows from that how many of the requests that run there are, and takes their share for the requests that start on its machine and end no later than one of those, as calls do. The share is drawn from the budget of the service called and is passed on with the call, so that it holds over several calls in a row. Retries and such calls together get 0.9 of the ratio; retries alone keep 0.75 at most, so that callers leave something to the services that they call. A service whose callers do not repeat keeps its retries.

Why it works: repeats of a caller are a bounded share of its runs, calls and requests meet at the same daemon, and what they add is taken off before a retry is granted, so the sum over the daemons stays within the ratio without an exchange. Not covered: callers of which over half of the first attempts are rejected while the repeats run, for longer than two windows; their calls alone may then exceed the ratio.

Test: tests::repeated_calls, a model of three services on 12 daemons with the sliding windows of the rule.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rate_limit;
 pub mod retry_budgets;
 pub mod route_proof;
+pub mod run_origins;
 pub mod shutdown;
 pub mod stored_members;
 pub mod table;
--- a/crates/mesh/src/retry_budgets.rs
+++ b/crates/mesh/src/retry_budgets.rs
@@ -7,8 +7,11 @@
 //!
 //! While the budget is short, requests that may run only once go first: nothing else can save them,
 //! since clients retry idempotent ones after any failure. A retry after a lost answer repeats the
-//! calls of the first run, which count as retries at the services called, so those retries get a
-//! smaller part.
+//! calls of the first run, so those retries get a smaller part.
+//!
+//! The calls of any repeated run, also one after a rejection, count as repeats at the services called.
+//! A request that may be such a call draws on the budget of its service without being asked, and
+//! retries get what the calls leave.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -20,14 +23,19 @@
 use routing::budget::BudgetDecision;
 use routing::budget::RetryBudgetConfig;
 
-/// Retries per thousand requests at an allowed ratio of 1. The rest is left to the repeated calls of
-/// retried runs, and to requests that never arrived, which add nothing to the budget.
+use crate::run_origins::RepeatShare;
+
+/// Retries per thousand requests at an allowed ratio of 1. The rest is left to the retries of the
+/// services that retried runs call.
 const USED_RATIO_PERMILLE: f64 = 750.0;
 
+/// The same for retries together with calls of repeated runs. How many calls those are is an estimate.
+const TOTAL_RATIO_PERMILLE: f64 = 900.0;
+
 /// Retries per thousand requests that may repeat a run, at an allowed ratio of 1.
 const REPEATED_RATIO_PERMILLE: f64 = 400.0;
 
-/// Part of the additional allowance that is used, for the same reasons.
+/// Part of the additional allowance that is used; estimates may be off by the rest.
 const USED_SLACK: f64 = 0.5;
 
 /// Unused retries that a daemon keeps at least, which it has to earn by its requests. Fewer would be
@@ -60,6 +68,7 @@
     starts_full: bool,
     all: RetryBudgetConfig,
     repeated: RetryBudgetConfig,
+    total: RetryBudgetConfig,
 }
 
 #[derive(Debug)]
@@ -67,6 +76,8 @@
     all: RetryBudget,
     /// Further limit on retries that may repeat a run.
     repeated: RetryBudget,
+    /// Limit on retries together with calls of repeated runs.
+    total: RetryBudget,
     /// Until when idempotent requests get no retries.
     yields_until: Option<Instant>,
 }
@@ -91,11 +102,14 @@
         }
     }
 
-    /// Records a request to a service, which adds to its budget.
-    pub fn request_started(&mut self, service: &ServiceName, now: Instant) {
+    /// Records a request to a service, which adds to its budget. `share` is the expected share of calls
+    /// of repeated runs among such requests.
+    pub fn request_started(&mut self, service: &ServiceName, share: RepeatShare, now: Instant) {
         let budget = self.budget(service, now);
         budget.all.record_call();
         budget.repeated.record_call();
+        budget.total.record_call();
+        budget.total.record_extra(share);
     }
 
     /// Spends one retry from the budget of a service, if there is one for such a request.
@@ -115,7 +129,7 @@
         {
             return BudgetDecision::Exhausted;
         }
-        let decision = budget.all.try_spend(now);
+        let decision = budget.spend(now);
         if decision == BudgetDecision::Exhausted && !is_idempotent {
             budget.yields_until = Some(now + YIELD_TIME);
         }
@@ -129,11 +143,25 @@
             .or_insert_with(|| ServiceBudget {
                 all: limits.start(limits.all, now),
                 repeated: limits.start(limits.repeated, now),
+                total: limits.start(limits.total, now),
                 yields_until: None,
             })
     }
 }
 
+impl ServiceBudget {
+    fn spend(&mut self, now: Instant) -> BudgetDecision {
+        if !self.total.has_attempt(now) {
+            return BudgetDecision::Exhausted;
+        }
+        let decision = self.all.try_spend(now);
+        if decision == BudgetDecision::Granted {
+            self.total.try_spend(now);
+        }
+        decision
+    }
+}
+
 impl Limits {
     fn start(self, cfg: RetryBudgetConfig, now: Instant) -> RetryBudget {
         if self.starts_full {
@@ -154,6 +182,7 @@
             starts_full: whole(burst) >= MIN_BURST,
             all: limit(USED_RATIO_PERMILLE),
             repeated: limit(REPEATED_RATIO_PERMILLE),
+            total: limit(TOTAL_RATIO_PERMILLE),
         }
     }
 }
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -27,6 +27,7 @@
 mod placement;
 mod quarantine;
 mod rate_limit;
+mod repeated_calls;
 mod replay;
 mod retry_budgets;
 mod shutdown;
--- a/crates/mesh/src/tests/retry_budgets.rs
+++ b/crates/mesh/src/tests/retry_budgets.rs
@@ -42,7 +42,7 @@
             (Idempotency::Idempotent, &mut served[1])
         };
         served.requests += 1;
-        budgets.request_started(&service, now);
+        budgets.request_started(&service, 0, now);
         if !is_rejected() {
             served.ran += 1;
             continue;
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -35,6 +35,7 @@
 use crate::quarantine::CrashReport;
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
+use crate::run_origins::RepeatShare;
 
 /// Incarnation of a daemon and the number of its announcement; a later one is higher.
 pub type Revision = (Incarnation, u64);
@@ -135,6 +136,8 @@
     pub limit: Option<RequestRate>,
     /// Whether the caller side knows the request as one to run in isolation.
     pub is_isolated: bool,
+    /// Expected share of repeats in such requests, whose calls count as repeats too.
+    pub repeat_share: RepeatShare,
     /// Customer whose key the request carried.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customer: Option<CustomerHead>,
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -5,7 +5,7 @@
 
 /// Cost of one extra attempt, in tokens; a call earns `per_thousand` of them, so that the ratio is
 /// kept in whole numbers.
-const TOKENS_PER_ATTEMPT: u64 = 1000;
+const TOKENS_PER_ATTEMPT: i64 = 1000;
 
 /// Limits on extra attempts, which are retries and hedges.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +33,8 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     cfg: RetryBudgetConfig,
-    tokens: u64,
+    /// Below 0 while the budget is in debt.
+    tokens: i64,
     last_refill: Instant,
 }
 
@@ -52,7 +53,7 @@
     pub fn new(cfg: RetryBudgetConfig, now: Instant) -> Self {
         Self {
             cfg,
-            tokens: cfg.burst * TOKENS_PER_ATTEMPT,
+            tokens: cap(cfg),
             last_refill: now,
         }
     }
@@ -71,10 +72,21 @@
         self.add_tokens(self.cfg.per_thousand);
     }
 
+    /// Takes the tokens of an extra attempt that is sent whatever the budget holds and counts with a
+    /// probability of `permille`. The debt grows up to the tokens of a full budget.
+    pub fn record_extra(&mut self, permille: u16) {
+        self.tokens = (self.tokens - i64::from(permille)).max(-cap(self.cfg));
+    }
+
+    /// Returns whether there are tokens for an extra attempt.
+    pub fn has_attempt(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.tokens >= TOKENS_PER_ATTEMPT
+    }
+
     /// Takes the tokens of one extra attempt from the budget.
     pub fn try_spend(&mut self, now: Instant) -> BudgetDecision {
-        self.refill(now);
-        if self.tokens < TOKENS_PER_ATTEMPT {
+        if !self.has_attempt(now) {
             return BudgetDecision::Exhausted;
         }
         self.tokens -= TOKENS_PER_ATTEMPT;
@@ -94,11 +106,17 @@
     }
 
     fn add_tokens(&mut self, tokens: u64) {
-        let cap = self.cfg.burst * TOKENS_PER_ATTEMPT;
-        self.tokens = self.tokens.saturating_add(tokens).min(cap);
+        let tokens = i64::try_from(tokens).unwrap_or(i64::MAX);
+        self.tokens = self.tokens.saturating_add(tokens).min(cap(self.cfg));
     }
 }
 
+/// Returns the tokens of a full budget.
+fn cap(cfg: RetryBudgetConfig) -> i64 {
+    let attempts = i64::try_from(cfg.burst).unwrap_or(i64::MAX);
+    attempts.saturating_mul(TOKENS_PER_ATTEMPT)
+}
+
 /// Number of histogram buckets. Latencies up to 1 us share the first one; bucket bounds grow by a
 /// factor of 2^(1/4).
 const BUCKET_COUNT: usize = 128;
--- a/crates/routing/src/tests/budget.rs
+++ b/crates/routing/src/tests/budget.rs
@@ -40,6 +40,38 @@
     check(10_000, 0, 50);
 }
 
+/// Attempts that are sent whatever the budget holds make later ones wait, for a full budget at most.
+#[test]
+fn attempts_beyond_the_budget_are_a_debt() {
+    let start = Instant::now();
+    let check = |extras: u32, permille: u16, calls: u32, want: BudgetDecision| {
+        let cfg = RetryBudgetConfig {
+            per_thousand: 100,
+            floor_per_second: 0,
+            burst: 3,
+        };
+        let mut budget = RetryBudget::empty(cfg, start);
+        for _ in 0..extras {
+            budget.record_extra(permille);
+        }
+        for _ in 0..calls {
+            budget.record_call();
+        }
+        assert_eq!(budget.has_attempt(start), want == BudgetDecision::Granted);
+        assert_eq!(
+            budget.try_spend(start),
+            want,
+            "{extras} at {permille}, {calls} calls"
+        );
+    };
+    check(1, 1000, 19, BudgetDecision::Exhausted);
+    check(1, 1000, 20, BudgetDecision::Granted);
+    check(4, 250, 19, BudgetDecision::Exhausted);
+    check(4, 250, 20, BudgetDecision::Granted);
+    check(50, 1000, 39, BudgetDecision::Exhausted);
+    check(50, 1000, 40, BudgetDecision::Granted);
+}
+
 /// Asked every 1.9 ms, the budget still earns its floor of ten attempts a second.
 #[test]
 fn parts_of_a_millisecond_add_up() {
--- a/crates/sidecar/src/dispatcher.rs
+++ b/crates/sidecar/src/dispatcher.rs
@@ -28,6 +28,7 @@
 use mesh::rate_limit::LimitNotice;
 use mesh::rate_limit::LimitReport;
 use mesh::rate_limit::RequestRate;
+use mesh::run_origins::RunOrigins;
 use mesh::wire::ForwardHead;
 use protocol::call::Load;
 use protocol::call::NotRun;
@@ -109,6 +110,8 @@
     /// Requests that were granted a slot but have not resumed yet.
     pub(crate) granted: RefCell<FastSet<RequestKey>>,
     pub(crate) last_key: Cell<RequestKey>,
+    /// Requests that hold a slot, which may make calls.
+    pub(crate) origins: RefCell<RunOrigins>,
     pub(crate) conns: Pool,
     /// Requests that the instance refused lately.
     refused: RefCell<RecentRefusals>,
@@ -143,6 +146,7 @@
             waiting: RefCell::default(),
             granted: RefCell::default(),
             last_key: Cell::new(0),
+            origins: RefCell::default(),
             conns: Pool::new(pool),
             refused: RefCell::default(),
             instance: Cell::new(instance),
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -150,6 +150,7 @@
             full_value_until: began + route.target_latency.min(left),
             route,
             config: table.version(),
+            repeat_share: 0,
             tried: Vec::new(),
             sends: 0,
             delivered_to: Vec::new(),
@@ -169,9 +170,7 @@
             return refusal;
         }
         requests::prepare_to_forward(&mut req, &self.own_service());
-        self.retry_budgets
-            .borrow_mut()
-            .request_started(&state.service, began);
+        self.add_to_budget(&mut state);
         let (id, service, route) = (
             state.id.clone(),
             state.service.clone(),
@@ -417,6 +416,18 @@
         }
     }
 
+    /// Adds the request to the retry budget of its service, less what it counts for if the local instance
+    /// made it in a repeated run.
+    fn add_to_budget(&self, state: &mut RequestState) {
+        let origins = self.dispatcher.origins.borrow();
+        state.repeat_share = origins.share_of(state.client_deadline);
+        self.retry_budgets.borrow_mut().request_started(
+            &state.service,
+            state.repeat_share,
+            state.began,
+        );
+    }
+
     /// Returns whether the request may be sent to another instance; spends from the retry budget if
     /// so.
     fn may_retry(&self, state: &RequestState, last: LastAttempt) -> bool {
@@ -444,6 +455,7 @@
                 "request": state.id,
                 "service": state.service,
                 "sent": state.sends,
+                "repeat_share": state.repeat_share,
                 "granted": decision == BudgetDecision::Granted,
             })
         });
--- a/crates/sidecar/src/request_state.rs
+++ b/crates/sidecar/src/request_state.rs
@@ -13,6 +13,8 @@
 use mesh::customers::Identity;
 use mesh::directory::Entry;
 use mesh::rate_limit::RequestRate;
+use mesh::run_origins::REPEATED;
+use mesh::run_origins::RepeatShare;
 use mesh::shutdown::Expectation;
 use mesh::wire::ForwardHead;
 use mesh::wire::RequestFingerprint;
@@ -40,6 +42,8 @@
     /// Time until which an answer has its full value, from the target latency of the route.
     pub full_value_until: Instant,
     pub config: mesh::ConfigVersion,
+    /// Expected share of calls of repeated runs in such requests.
+    pub repeat_share: RepeatShare,
     pub tried: Vec<DaemonId>,
     /// Attempts in which the request may have reached an instance.
     pub sends: u32,
@@ -88,6 +92,15 @@
         }
     }
 
+    /// Returns the expected share of repeats among runs like that of the next attempt.
+    fn run_share(&self) -> RepeatShare {
+        if self.sends > 0 {
+            REPEATED
+        } else {
+            self.repeat_share
+        }
+    }
+
     /// Whether the route allows the request on one more instance.
     pub fn has_instances_left(&self) -> bool {
         let reached = u32::try_from(self.delivered_to.len()).unwrap_or(u32::MAX);
@@ -124,6 +137,7 @@
         config: state.config,
         limit,
         is_isolated: false,
+        repeat_share: state.run_share(),
         customer: state.keyed_customer().map(Identity::head),
     }
 }
--- a/crates/sidecar/src/slot.rs
+++ b/crates/sidecar/src/slot.rs
@@ -10,6 +10,7 @@
 use mesh::admission::Ended;
 use mesh::config::Rank;
 use mesh::config::RouteName;
+use mesh::run_origins::RepeatShare;
 use mesh::wire::ForwardHead;
 use protocol::call::NotRun;
 
@@ -66,11 +67,13 @@
             key,
             rank: head.rank,
             route: head.route.clone(),
+            deadline,
+            repeat_share: head.repeat_share,
             state: SlotState::Waiting,
         };
         match offer {
             AdmissionDecision::Run => {
-                slot.state = SlotState::Running;
+                slot.start_run();
                 return Some(Ok(slot));
             }
             AdmissionDecision::Refused(not_run) => {
@@ -87,7 +90,7 @@
         match rx.await {
             Ok(WaitOutcome::Run) => {
                 owner.granted.borrow_mut().remove(&key);
-                slot.state = SlotState::Running;
+                slot.start_run();
                 Some(Ok(slot))
             }
             Ok(WaitOutcome::Refused(not_run)) => {
@@ -112,6 +115,8 @@
     key: RequestKey,
     rank: Rank,
     route: RouteName,
+    deadline: Instant,
+    repeat_share: RepeatShare,
     state: SlotState,
 }
 
@@ -122,7 +127,16 @@
         self.owner.process_queue();
     }
 
+    fn start_run(&mut self) {
+        self.state = SlotState::Running;
+        self.owner
+            .origins
+            .borrow_mut()
+            .run_started(self.key, self.deadline, self.repeat_share);
+    }
+
     fn free(&self, took: Option<Duration>) {
+        self.owner.origins.borrow_mut().run_ended(self.key);
         self.owner.admission.borrow_mut().ended(&Ended {
             rank: self.rank,
             route: &self.route,
--- a/crates/sidecar/src/tests/caps.rs
+++ b/crates/sidecar/src/tests/caps.rs
@@ -36,7 +36,7 @@
     IpAddr::V4(Ipv4Addr::new(127, 7, fleet, number))
 }
 
-fn boot(fleet: u8, number: u8) -> BootConfig {
+pub(super) fn boot(fleet: u8, number: u8) -> BootConfig {
     let ip = ip(fleet, number);
     let at = |port: u16| SocketAddr::new(ip, port);
     BootConfig {
--- a/crates/sidecar/tests/end_to_end/notices.rs
+++ b/crates/sidecar/tests/end_to_end/notices.rs
@@ -180,6 +180,7 @@
                     config: 3,
                     limit: RequestRate::from_per_sec(1.0),
                     is_isolated: false,
+                    repeat_share: 0,
                     customer: None,
                 };
                 let req = Request::get("/look/1")
@@ -290,6 +291,7 @@
         config: 3,
         limit: None,
         is_isolated: false,
+        repeat_share: 0,
         customer: None,
     }
 }
--- a/daemons/bronzehead-sidecar/tests/processes/site.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/site.rs
@@ -328,6 +328,7 @@
             config: 3,
             limit: None,
             is_isolated: false,
+            repeat_share: 0,
             customer: None,
         };
         Request::new(Method::POST, "/book/1", "{}")
