bronzehead-sidecar: the tests' site takes its size and limits as a setup

Cause: tests of memory and descriptors need the site of the process tests with other limits, and with parts that a faulty server replaces. Change: the fixture is a module that targets share; size, MemoryMb, MaxFds, the largest body, times and slots are a Setup whose default is what they were, besides MaxFds 4100. Instances take bodies of 64 MiB and heads of 64 KiB. No check changes.

--- a/daemons/bronzehead-sidecar/tests/processes/main.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/main.rs
@@ -2,4 +2,6 @@
 
 mod departures;
 mod planned_stops;
+#[allow(dead_code, reason = "the targets share it, and none uses all of it")]
+#[path = "../site/mod.rs"]
 mod site;
--- a/daemons/bronzehead-sidecar/tests/processes/site.rs
+++ b/daemons/bronzehead-sidecar/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! Machines on loopback addresses, each with a process of the daemon and an instance, and the stand-in
 //! store.
 
+mod instance;
+mod setup;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -17,10 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
-use base::units::unix_millis;
-use bytes::BytesMut;
 use http::Method;
 use http::StatusCode;
 use http_edge::CallError;
@@ -40,7 +40,10 @@
 use protocol::codec;
 use serde_json::json;
 use standin_store::StoreService;
-use users_platform::records;
+
+use self::instance::Instance;
+pub use self::setup::Setup;
+use self::setup::put_config;
 
 /// Upper limit for each awaited event.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
@@ -54,11 +57,14 @@
 /// Time in which an instance takes the answer to a call of its own.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Path of health probes of an instance.
-const HEALTH_PATH: &str = "/healthz";
+/// Largest head that an instance takes, in bytes; the daemons add headers to that of a client.
+const MAX_INSTANCE_HEAD: usize = 64 * 1024;
 
-/// Machines of a site.
-const MACHINES: u8 = 3;
+/// Largest body that an instance takes, in bytes.
+const MAX_INSTANCE_BODY: usize = 64 * 1024 * 1024;
+
+/// Path of health probes of an instance.
+pub const HEALTH_PATH: &str = "/healthz";
 
 /// Time after the start in which the daemons learn of each other.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -71,75 +77,6 @@
 pub const PEERS: u16 = 9105;
 const STORE: u16 = 9106;
 
-/// An instance: answers requests after a while, or at their deadline, and records when they arrived.
-pub struct Instance {
-    pub id: String,
-    pub arrivals: RefCell<Vec<(Instant, String)>>,
-    pub work: Cell<Duration>,
-    pub is_beating: Cell<bool>,
-    /// Whether it says in health answers that it stays.
-    pub is_staying: Cell<bool>,
-    born: u64,
-    sequence: Cell<u64>,
-}
-
-impl Instance {
-    fn new(number: u8) -> Self {
-        Self {
-            id: format!("i-{number}"),
-            arrivals: RefCell::default(),
-            work: Cell::new(Duration::from_millis(20)),
-            is_beating: Cell::new(true),
-            is_staying: Cell::new(true),
-            born: unix_millis(SystemTime::now()),
-            sequence: Cell::new(0),
-        }
-    }
-
-    /// Returns how many requests arrived at `since` or later.
-    pub fn arrivals_since(&self, since: Instant) -> usize {
-        let arrivals = self.arrivals.borrow();
-        arrivals.iter().filter(|(at, _)| *at >= since).count()
-    }
-
-    /// Returns how often a request arrived.
-    pub fn runs(&self, id: &str) -> usize {
-        let arrivals = self.arrivals.borrow();
-        arrivals.iter().filter(|(_, known)| known == id).count()
-    }
-}
-
-impl Handler for Instance {
-    async fn handle(&self, req: Request) -> Response {
-        if req.path() == HEALTH_PATH {
-            let status = if self.is_staying.get() {
-                StatusCode::OK
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            };
-            return Response::text(status, "").with_header("x-instance-id", &self.id);
-        }
-        let id = req.header("x-request-id").unwrap_or_default().to_owned();
-        if req.header("x-target-instance") != Some(self.id.as_str()) {
-            let refusal = Response::text(StatusCode::MISDIRECTED_REQUEST, "another instance");
-            return refusal.with_header("x-request-id", id);
-        }
-        let arrival = (Instant::now(), id.clone());
-        self.arrivals.borrow_mut().push(arrival);
-        let deadline = req.header("x-deadline-ms").and_then(|ms| ms.parse().ok());
-        let left = deadline.map_or(TIMEOUT, Duration::from_millis);
-        let status = if self.work.get() <= left {
-            StatusCode::OK
-        } else {
-            StatusCode::GATEWAY_TIMEOUT
-        };
-        monoio::time::sleep(self.work.get().min(left)).await;
-        Response::text(status, id.clone())
-            .with_header("x-request-id", id)
-            .with_header("x-response-stamp", &self.id)
-    }
-}
-
 /// Processes of the daemons of a test, by the address of their machine.
 type Processes = Rc<RefCell<HashMap<IpAddr, Child>>>;
 
@@ -165,7 +102,9 @@
     dir: PathBuf,
     processes: Processes,
     terminated_at: Cell<Instant>,
-    _servers: [Server; 2],
+    instance_server: RefCell<Option<Server>>,
+    store_server: RefCell<Option<Server>>,
+    setup: Setup,
 }
 
 impl Machine {
@@ -173,15 +112,13 @@
         number: u8,
         store: &StoreService,
         dir: &Path,
-        (test, processes): (u8, &Processes),
+        (test, setup, processes): (u8, Setup, &Processes),
     ) -> Rc<Self> {
         let ip = IpAddr::from([127, 9, test, number]);
         let instance = Rc::new(Instance::new(number));
         let store = store.with_own_faults();
-        let servers = [
-            serve(ip, INSTANCE, Rc::clone(&instance)),
-            serve(ip, STORE, Rc::new(store.clone())),
-        ];
+        let instance_server = serve(ip, INSTANCE, Rc::clone(&instance));
+        let store_server = serve(ip, STORE, Rc::new(store.clone()));
         let machine = Rc::new(Self {
             ip,
             instance,
@@ -190,7 +127,9 @@
             dir: dir.to_owned(),
             processes: Rc::clone(processes),
             terminated_at: Cell::new(Instant::now()),
-            _servers: servers,
+            instance_server: RefCell::new(Some(instance_server)),
+            store_server: RefCell::new(Some(store_server)),
+            setup,
         });
         machine.write_settings();
         machine.start();
@@ -199,7 +138,7 @@
     }
 
     fn write_settings(&self) {
-        let (ip, name) = (self.ip, &self.name);
+        let (ip, name, setup) = (self.ip, &self.name, self.setup);
         let at = |port: u16| format!("{ip}:{port}");
         let settings = json!({
             "Node": name, "Ip": ip, "Zone": "z", "Service": "bookings",
@@ -207,7 +146,10 @@
                 "Inbound": at(PEERS), "Outbound": at(REQUESTS), "Ready": at(READY), "Control": at(CONTROL),
             },
             "PortRange": [PEERS, PEERS + 1],
-            "Limits": { "CpuShare": 0.2, "Cores": 1, "MemoryMb": 260, "LinkMbps": 1000.0 },
+            "Limits": {
+                "CpuShare": 0.2, "Cores": 1, "MemoryMb": setup.memory_mb, "MaxFds": setup.max_fds,
+                "LinkMbps": 1000.0,
+            },
             "Heartbeat": "1500ms",
             "Bounds": ["Grace=6s", "RetryRatio=0.2", "RetrySlack=60"],
             "AppAddr": at(INSTANCE),
@@ -247,6 +189,14 @@
         }
     }
 
+    /// Returns the id of the daemon's process, and whether it still runs.
+    pub fn process(&self) -> (u32, bool) {
+        let mut processes = self.processes.borrow_mut();
+        let child = processes.get_mut(&self.ip).expect("it was started");
+        let ended = child.try_wait().expect("it can be waited for");
+        (child.id(), ended.is_none())
+    }
+
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
         let processes = self.processes.borrow();
@@ -270,6 +220,31 @@
         began.elapsed()
     }
 
+    /// Returns the address at which the daemon takes the requests of clients.
+    pub fn request_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, REQUESTS)
+    }
+
+    /// Closes the instance's server; returns its address. The heartbeats go on.
+    pub async fn close_instance(&self) -> SocketAddr {
+        let server = self.instance_server.take();
+        server.expect("it runs").close(TIMEOUT).await;
+        SocketAddr::new(self.ip, INSTANCE)
+    }
+
+    /// Closes the server of the store that this machine calls; returns its address.
+    pub async fn close_store(&self) -> SocketAddr {
+        let server = self.store_server.take();
+        server.expect("it runs").close(TIMEOUT).await;
+        SocketAddr::new(self.ip, STORE)
+    }
+
+    /// Kills the daemon; returns the address at which its peers reach it.
+    pub fn close_daemon(&self) -> SocketAddr {
+        self.kill();
+        SocketAddr::new(self.ip, PEERS)
+    }
+
     async fn beat(self: Rc<Self>) {
         while self.instance.is_beating.get() {
             let sequence = self.instance.sequence.get() + 1;
@@ -288,7 +263,7 @@
     pub async fn send_heartbeat(&self, state: &str, sequence: u64) -> bool {
         let body = json!({
             "Service": "bookings", "Version": "v1", "Address": format!("{}:{INSTANCE}", self.ip),
-            "Zone": "z", "Slots": 8, "State": state, "ColdLeft": "0ms", "Seq": sequence,
+            "Zone": "z", "Slots": self.setup.slots, "State": state, "ColdLeft": "0ms", "Seq": sequence,
             "born": self.instance.born,
         });
         let path = format!("/-/Instances.Heartbeat/{}", self.instance.id);
@@ -367,15 +342,15 @@
 
 impl Site {
     /// Starts the machines and waits until each serves.
-    async fn start(test: u8, processes: &Processes) -> Self {
+    async fn start(test: u8, setup: Setup, processes: &Processes) -> Self {
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("site-{test}"));
         let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).expect("the folder can be written");
         let store = StoreService::default();
-        put_config(&store);
+        put_config(&store, setup);
         let mut machines = Vec::new();
-        for number in 1..=MACHINES {
-            machines.push(Machine::new(number, &store, &dir, (test, processes)));
+        for number in 1..=setup.machines {
+            machines.push(Machine::new(number, &store, &dir, (test, setup, processes)));
         }
         for machine in &machines {
             machine.wait_ready().await;
@@ -406,6 +381,17 @@
         }
     }
 
+    /// Has all instances leave but that of the last machine, so that all requests run there.
+    pub async fn leave_last_only(&self) {
+        let (_, others) = self.machines.split_last().expect("there are machines");
+        for machine in others {
+            machine.instance.is_beating.set(false);
+            machine.instance.is_staying.set(false);
+            assert!(machine.deregister().await);
+        }
+        monoio::time::sleep(SETTLE_TIME).await;
+    }
+
     /// Ends all daemons.
     pub fn close(self) {
         self.is_sending.set(false);
@@ -421,6 +407,20 @@
     with_sites([(test, ())], |site, ()| body(site));
 }
 
+/// Runs a test on a site with other limits.
+pub fn with_setup<F: Future<Output = Site> + 'static>(
+    test: u8,
+    setup: Setup,
+    body: impl FnOnce(Site) -> F,
+) {
+    let processes = Processes::default();
+    let _guard = KillGuard(Rc::clone(&processes));
+    http_edge::block_on(async {
+        let site = Site::start(test, setup, &processes).await;
+        body(site).await.close();
+    });
+}
+
 /// Runs a test with several cases at once, each on a site of its own.
 pub fn with_sites<C, F: Future<Output = Site> + 'static>(
     cases: impl IntoIterator<Item = (u8, C)>,
@@ -431,7 +431,7 @@
     http_edge::block_on(async {
         let mut running = Vec::new();
         for (test, case) in cases {
-            let case = body(Site::start(test, &processes).await, case);
+            let case = body(Site::start(test, Setup::default(), &processes).await, case);
             running.push(monoio::spawn(async move { case.await.close() }));
         }
         for case in running {
@@ -464,23 +464,8 @@
 
 fn serve<H: Handler>(ip: IpAddr, port: u16, handler: Rc<H>) -> Server {
     let listener = http_edge::listen(SocketAddr::new(ip, port)).expect("the address is free");
-    Server::start(listener, handler, ServerCfg::default())
-}
-
-fn put_config(store: &StoreService) {
-    let book = json!({
-        "Hostname": "shop.example", "PathPrefix": "/book/", "Kind": "non_idempotent",
-        "Service": "bookings", "Timeout": "2000ms", "TargetLatency": "800ms", "Priority": 1, "Attempts": 2,
-    });
-    let config = json!({
-        "Version": "r3", "Routes": { "book": book }, "Services": { "bookings": { "HealthPath": HEALTH_PATH } },
-        "Limits": {
-            "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeout": "3s", "IdleTimeout": "15s",
-        },
-    });
-    let mut buf = BytesMut::new();
-    let encoded = records::encode(&mut buf, "config", config.to_string().as_bytes());
-    encoded.expect("the key is short enough");
-    let appended = store.with_topic("keyed.op", |topic| topic.append(buf.freeze()));
-    appended.expect("the record is complete");
+    let mut cfg = ServerCfg::default();
+    cfg.limits.max_head_bytes = MAX_INSTANCE_HEAD;
+    cfg.limits.max_body_bytes = MAX_INSTANCE_BODY;
+    Server::start(listener, handler, cfg)
 }
