http-edge: an own message reader, and one memory budget for all requests

Cause: the decoder kept a head, a body and each chunk of every connection without a common bound, doubled its buffer while a body grew, and kept one buffer for each chunk, so that chunks of one byte took some 300 times their payload. Its table of 96 header lines refused longer heads that the limits allow.

Change: heads and bodies are read by `incoming` on httparse. A head is looked through once and parsed with a table of its own number of lines; until the body is whole only its bytes are kept. A body is kept in parts of at most 64 KiB (`Body`), and chunks are decoded in the part that receives them, so their size takes no memory. Each part, head, parsed line and connection is charged to a `MemoryBudget` that servers may share, before it is allocated, and is given back with the last clone of the request. On shortage the incomplete request that holds the most is evicted; whole requests are not. Bodies over 64 KiB take at most 7/8. A request that finds no room, or is evicted, gets a refusal that its handler builds, and its input is dropped for a bounded time, so that the sender can read it. At the limit of connections the one that is idle or stalled longest ends. A head has a time limit, and a body or an answer without progress ends its connection. monoio-http goes: requests are encoded beside the responses.

Tests: a check asked for 400 for a head of 200 lines over its limit of 1,024 bytes. That was the answer of the table of 96 lines; the head is too large, as the other check of such a head says, and gets 413. The handler of the tests and one check of a body read the body in one piece. A head over its limit by less than one read was accepted; now the limit is exact. A head with single line feeds is refused.

--- a/crates/base/src/tests.rs
+++ b/crates/base/src/tests.rs
@@ -66,3 +66,22 @@
     wakers.waiter().register(&cx);
     assert!(wakers.is_empty());
 }
+
+#[test]
+fn content_hash_does_not_depend_on_its_parts() {
+    let bytes: Vec<u8> = (0..100).collect();
+    for len in 0..bytes.len() {
+        let whole = hash::content([&bytes[..len]]);
+        for part_bytes in 1..20 {
+            let parts = bytes[..len].chunks(part_bytes);
+            assert_eq!(hash::content(parts), whole, "{len} by {part_bytes}");
+        }
+    }
+    let ends = |end: usize| hash::content([&bytes[..end]]);
+    assert_ne!(ends(8), ends(9));
+    // Daemons of two releases agree on it.
+    assert_eq!(
+        hash::content([&b"a body of some length"[..]]),
+        0x8e4c_b362_c6ba_712f
+    );
+}
--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -159,7 +159,7 @@
 
     /// Answers a caller's query for the outcome of an attempt.
     pub async fn resolve(&self, req: Request) -> Response {
-        let Ok(request) = codec::decode::<ResolveRequest>(&req.body) else {
+        let Ok(request) = codec::decode::<ResolveRequest>(&req.body.to_bytes()) else {
             log::info!("calls: refused an unreadable resolve request");
             return Response::text(StatusCode::BAD_REQUEST, "no question");
         };
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -69,7 +69,7 @@
 
     /// Handles a message of another daemon; an unreadable one gets status 400.
     pub fn handle_message(&self, req: &Request) -> Response {
-        match codec::decode::<Message>(&req.body) {
+        match codec::decode::<Message>(&req.body.to_bytes()) {
             Ok(Message::Evidence(reports)) => self.accept_reports(reports),
             Ok(Message::Renewal { lease, facts }) => {
                 self.shared.merge_lease(lease);
--- a/crates/daemon/src/feed/server.rs
+++ b/crates/daemon/src/feed/server.rs
@@ -18,7 +18,7 @@
 /// Answers at once if the child lacks something; otherwise holds the request until there is
 /// something new or the hold time is over.
 pub(super) async fn handle_request(feed: &Rc<FeedState>, req: &Request) -> Response {
-    let req: FeedRequest = match codec::decode(&req.body) {
+    let req: FeedRequest = match codec::decode(&req.body.to_bytes()) {
         Ok(req) => req,
         Err(e) => return Response::text(StatusCode::BAD_REQUEST, e.to_string()),
     };
--- a/crates/daemon/src/local.rs
+++ b/crates/daemon/src/local.rs
@@ -43,7 +43,7 @@
     }
 
     fn announce(&self, req: &Request) -> Response {
-        match serde_json::from_slice::<Announcement>(&req.body) {
+        match serde_json::from_slice::<Announcement>(&req.body.to_bytes()) {
             Ok(announcement) => {
                 self.last_announced.set(Instant::now());
                 self.shared.upstream.set_if_changed(Some(announcement));
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -113,7 +113,7 @@
 
     /// Answers a sync request of a peer; status 503 if too many arrive.
     pub async fn sync(&self, req: &Request) -> Response {
-        let req = match codec::decode(&req.body) {
+        let req = match codec::decode(&req.body.to_bytes()) {
             Ok(req) => req,
             Err(e) => return Response::text(StatusCode::BAD_REQUEST, e.to_string()),
         };
--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -4,41 +4,39 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::task::Context;
-use std::task::Poll;
 use std::task::Waker;
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use http::Uri;
+use http::Version;
 use http::header::CONNECTION;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
+use monoio::io::AsyncWriteRentExt;
 use monoio::io::OwnedReadHalf;
 use monoio::io::OwnedWriteHalf;
 use monoio::io::Splitable;
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
 use monoio::net::TcpStream;
-use monoio_http::common::body::Body;
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::FillPayload;
-use monoio_http::h1::codec::decoder::ResponseDecoder;
-use monoio_http::h1::codec::encoder::GenericEncoder;
-use monoio_http::h1::payload::FixedPayload;
-use monoio_http::h1::payload::Payload;
 
-use crate::catch_panic::catch_panic;
+use crate::body::Body;
+use crate::encode::INITIAL_HEAD_BYTES;
+use crate::encode::MAX_INLINE_BODY_BYTES;
 use crate::encode::is_bodiless;
+use crate::encode::put_headers;
 use crate::error::CallError;
 use crate::error::ConnectError;
 use crate::framing;
 use crate::framing::Framing;
-use crate::limited::LimitedReader;
-use crate::limited::Limits;
-use crate::limited::ReadBudget;
+use crate::head::RawHead;
+use crate::incoming::MessageReader;
+use crate::incoming::ReadError;
+use crate::incoming::Terms;
+use crate::limits::Limits;
 use crate::message::Request;
 use crate::message::Response;
 
@@ -53,14 +51,10 @@
 /// lost in the network.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// What the decoder returns next; `None` at the end of the connection.
-type NextHead = Option<Result<http::Response<Payload>, HttpError>>;
-
 /// An open connection; it carries one request at a time.
 pub struct Conn {
-    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
-    decoder: ResponseDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>,
-    budget: ReadBudget,
+    w: OwnedWriteHalf<TcpStream>,
+    input: MessageReader<OwnedReadHalf<TcpStream>>,
     limits: Limits,
     peer: SocketAddr,
     opened_at: Instant,
@@ -100,11 +94,9 @@
             )
             .map_err(ConnectError::Io)?;
         let (r, w) = stream.into_split();
-        let budget = ReadBudget::new(limits.max_wire_bytes());
         Ok(Self {
-            encoder: GenericEncoder::new(w),
-            decoder: ResponseDecoder::new(LimitedReader::new(r, budget.clone())),
-            budget,
+            w,
+            input: MessageReader::new(r),
             limits,
             peer,
             opened_at: Instant::now(),
@@ -146,25 +138,12 @@
         !self.has_stray_bytes
     }
 
-    /// Whether bytes came with the last response that do not belong to it.
-    fn holds_bytes(&mut self) -> bool {
-        self.budget.set_ends(true);
-        let is_empty = matches!(self.poll_next(), Poll::Ready(Some(None)));
-        self.budget.set_ends(false);
-        !is_empty
-    }
-
-    /// Whether bytes, or the end of the connection, have arrived since. What is read is lost if it is not a whole
-    /// head, so the connection must not be used any more then.
+    /// Whether bytes, or the end of the connection, have arrived since. What is read is lost, so the
+    /// connection must not be used any more then.
     fn receives_bytes(&mut self) -> bool {
-        self.budget.reset(self.limits.max_head_bytes);
-        self.poll_next().is_ready() || self.budget.remaining() < self.limits.max_head_bytes
-    }
-
-    fn poll_next(&mut self) -> Poll<Option<NextHead>> {
         let mut cx = Context::from_waker(Waker::noop());
-        let next = pin!(catch_panic(self.decoder.next()));
-        next.poll(&mut cx)
+        let read = pin!(self.input.read_unexpected());
+        read.poll(&mut cx).is_ready()
     }
 
     /// Sends a request and reads the whole response. After an error the connection is not
@@ -181,16 +160,12 @@
             ));
         }
         let is_head = req.method == Method::HEAD;
-        let exchange = monoio::time::timeout(timeout, catch_panic(self.exchange(req)));
-        let res = match exchange.await {
-            Ok(Some(res)) => res?,
-            Ok(None) => return Err(CallError::Broken("response decoder panicked".to_owned())),
-            Err(_) => return Err(CallError::TimedOut),
-        };
-        // The head of such a response may declare a body, for which the decoder would wait.
+        let exchange = monoio::time::timeout(timeout, self.exchange(req));
+        let res = exchange.await.map_err(|_| CallError::TimedOut)??;
+        // The head of such a response may declare a body, which does not follow.
         if !is_head && !is_bodiless(res.status) {
             self.reuse = reuse_after(&res);
-            self.has_stray_bytes = self.holds_bytes();
+            self.has_stray_bytes = self.input.has_bytes();
             self.idle_timeout = framing::keep_alive_timeout(&res.headers);
         }
         Ok(res)
@@ -198,74 +173,66 @@
 
     async fn exchange(&mut self, req: Request) -> Result<Response, CallError> {
         let is_head = req.method == Method::HEAD;
-        let req = encode_request(req)?;
-        self.encoder
-            .send_and_flush(req)
-            .await
-            .map_err(|e| self.to_call_error(&e))?;
-        let (parts, payload) = self.read_head().await?.into_parts();
-        let framing = framing::of_message(parts.version, &parts.headers);
+        self.send(req).await?;
+        let (version, status, headers) = self.read_head().await?;
+        let framing = framing::of_message(version, &headers);
         let framing =
             framing.map_err(|_| CallError::Broken("ambiguous response length".to_owned()))?;
-        let body = if is_head || is_bodiless(parts.status) {
+        let body = if is_head || is_bodiless(status) {
             Bytes::new()
         } else {
-            self.read_body(framing, payload).await?
+            self.read_body(framing).await?
         };
         Ok(Response {
-            status: parts.status,
-            headers: parts.headers,
+            status,
+            headers,
             body,
         })
     }
 
-    /// Reads the head of the final response, skipping interim responses.
-    async fn read_head(&mut self) -> Result<http::Response<Payload>, CallError> {
-        self.budget.reset(self.limits.max_head_bytes);
+    async fn send(&mut self, req: Request) -> Result<(), CallError> {
+        let (head, body) = encode_request(req)?;
+        let parts = body.parts().iter().cloned();
+        for bytes in std::iter::once(head).chain(parts) {
+            let (written, _) = self.w.write_all(bytes).await;
+            written.map_err(|e| CallError::Broken(e.to_string()))?;
+        }
+        Ok(())
+    }
+
+    /// Reads the head of the final response, skipping interim responses, all within the limit of one
+    /// head.
+    async fn read_head(&mut self) -> Result<(Version, StatusCode, HeaderMap), CallError> {
+        let mut left = self.limits.max_head_bytes;
         loop {
-            let head = match self.decoder.next().await {
-                None => return Err(CallError::Broken("closed before the response".to_owned())),
-                Some(head) => head.map_err(|e| self.to_call_error(&e))?,
+            let read = self.input.read_head(left, Terms::UNBOUNDED, || ()).await;
+            let Some(bytes) = read.map_err(to_call_error)? else {
+                return Err(CallError::Broken("closed before the response".to_owned()));
             };
-            if !head.status().is_informational() {
-                return Ok(head);
+            left -= bytes.len();
+            let head = RawHead::new(bytes);
+            let (version, status, headers) = head
+                .response()
+                .map_err(|_| CallError::Broken("malformed response head".to_owned()))?;
+            if !status.is_informational() {
+                return Ok((version, status, headers));
             }
-            let has_body = !matches!(head.body(), Payload::None);
-            if has_body || head.status() == StatusCode::SWITCHING_PROTOCOLS {
-                return Err(CallError::Broken(format!(
-                    "unexpected response {}",
-                    head.status()
-                )));
+            let has_body = framing::of_message(version, &headers) != Ok(Framing::Empty);
+            if has_body || status == StatusCode::SWITCHING_PROTOCOLS {
+                return Err(CallError::Broken(format!("unexpected response {status}")));
             }
         }
     }
 
-    async fn read_body(&mut self, framing: Framing, payload: Payload) -> Result<Bytes, CallError> {
+    async fn read_body(&mut self, framing: Framing) -> Result<Bytes, CallError> {
         // Such a response ends with the connection, so a truncated one would look complete.
         if framing == Framing::Empty {
             return Err(CallError::Broken("response without a length".to_owned()));
         }
-        if framing.declared_length() > self.limits.max_body_bytes {
-            return Err(CallError::TooLarge);
-        }
-        self.budget.reset(self.limits.max_wire_bytes());
-        let filled = self.decoder.fill_payload().await;
-        filled.map_err(|e| self.to_call_error(&e))?;
-        let body = collect_body(payload)
-            .await
-            .map_err(|e| self.to_call_error(&e))?;
-        if body.len() > self.limits.max_body_bytes {
-            return Err(CallError::TooLarge);
-        }
-        Ok(body)
-    }
-
-    fn to_call_error(&self, e: &HttpError) -> CallError {
-        if self.budget.has_refused_read() {
-            CallError::TooLarge
-        } else {
-            CallError::Broken(e.to_string())
-        }
+        let max_body = self.limits.max_body_bytes;
+        let parts = self.input.read_body(framing, max_body, Terms::UNBOUNDED);
+        let parts = parts.await.map_err(to_call_error)?;
+        Ok(Body::from_parts(parts).to_bytes())
     }
 
     /// Closes the connection; a response that is still expected is lost.
@@ -274,16 +241,35 @@
     }
 }
 
-fn encode_request(req: Request) -> Result<http::Request<Payload>, CallError> {
-    let mut out = http::Request::builder()
-        .method(req.method)
-        .uri(req.target)
-        .body(to_payload(req.body))
-        .map_err(|e| CallError::Broken(e.to_string()))?;
-    *out.headers_mut() = req.headers;
-    out.headers_mut().remove(CONTENT_LENGTH);
-    out.headers_mut().remove(TRANSFER_ENCODING);
-    Ok(out)
+fn to_call_error(e: ReadError) -> CallError {
+    match e {
+        ReadError::TooLarge => CallError::TooLarge,
+        ReadError::Cut(e) => CallError::Broken(e.to_string()),
+        ReadError::Malformed => CallError::Broken("malformed response body".to_owned()),
+        ReadError::Idle | ReadError::Stalled => CallError::TimedOut,
+        ReadError::NoRoom => CallError::Broken("no memory for the response".to_owned()),
+    }
+}
+
+/// Encodes a request. Returns the first buffer, and the body unless the first buffer holds it.
+fn encode_request(req: Request) -> Result<(Bytes, Body), CallError> {
+    let uri: Uri = req
+        .target
+        .parse()
+        .map_err(|e| CallError::Broken(format!("invalid target: {e}")))?;
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    let mut buf = BytesMut::with_capacity(INITIAL_HEAD_BYTES);
+    buf.put(format!("{} {target} HTTP/1.1\r\n", req.method).as_bytes());
+    if !req.body.is_empty() {
+        buf.put(format!("content-length: {}\r\n", req.body.len()).as_bytes());
+    }
+    put_headers(&mut buf, &req.headers);
+    buf.put_slice(b"\r\n");
+    if req.body.len() > MAX_INLINE_BODY_BYTES {
+        return Ok((buf.freeze(), req.body));
+    }
+    req.body.parts().iter().for_each(|part| buf.put_slice(part));
+    Ok((buf.freeze(), Body::default()))
 }
 
 fn reuse_after(res: &Response) -> Reuse {
@@ -293,25 +279,3 @@
         Reuse::Allowed
     }
 }
-
-pub(crate) fn to_payload(body: Bytes) -> Payload {
-    if body.is_empty() {
-        Payload::None
-    } else {
-        Payload::Fixed(FixedPayload::new(body))
-    }
-}
-
-/// Concatenates the parts of a body that has been read completely.
-pub(crate) async fn collect_body(mut payload: Payload) -> Result<Bytes, HttpError> {
-    match &payload {
-        Payload::None => return Ok(Bytes::new()),
-        Payload::Fixed(_) => return payload.next_data().await.unwrap_or(Ok(Bytes::new())),
-        Payload::Stream(_) => {}
-    }
-    let mut buf = BytesMut::new();
-    while let Some(part) = payload.next_data().await {
-        buf.extend_from_slice(&part?);
-    }
-    Ok(buf.freeze())
-}
--- a/crates/http-edge/src/encode.rs
+++ b/crates/http-edge/src/encode.rs
@@ -1,4 +1,4 @@
-//! Encodes responses.
+//! Encodes heads and responses.
 
 use bytes::BufMut;
 use bytes::Bytes;
@@ -14,10 +14,10 @@
 pub(crate) const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Bodies up to this size are sent in one buffer with the head.
-const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
+pub(crate) const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
 
 /// Initial capacity for a head; the buffer grows as needed.
-const INITIAL_HEAD_BYTES: usize = 512;
+pub(crate) const INITIAL_HEAD_BYTES: usize = 512;
 
 /// Whether the body is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,7 +67,8 @@
     res.header(CONTENT_LENGTH.as_str())?.parse().ok()
 }
 
-fn put_headers(buf: &mut BytesMut, headers: &HeaderMap) {
+/// Writes header lines, without those that state the length of the body.
+pub(crate) fn put_headers(buf: &mut BytesMut, headers: &HeaderMap) {
     for (name, value) in headers {
         if name == CONTENT_LENGTH || name == TRANSFER_ENCODING {
             continue;
--- a/crates/http-edge/src/error.rs
+++ b/crates/http-edge/src/error.rs
@@ -14,6 +14,8 @@
     Expectation,
     /// No request arrived within the idle timeout.
     Idle,
+    /// The request makes no progress.
+    Stalled,
     /// The connection ended within a request.
     Cut,
 }
@@ -26,6 +28,7 @@
             Self::Malformed => Some(http::StatusCode::BAD_REQUEST),
             Self::TooLarge => Some(http::StatusCode::PAYLOAD_TOO_LARGE),
             Self::Expectation => Some(http::StatusCode::EXPECTATION_FAILED),
+            Self::Stalled => Some(http::StatusCode::REQUEST_TIMEOUT),
             Self::Idle | Self::Cut => None,
         }
     }
@@ -38,6 +41,7 @@
             Self::TooLarge => "request larger than the limit",
             Self::Expectation => "unknown expectation",
             Self::Idle => "connection idle for too long",
+            Self::Stalled => "request without progress for too long",
             Self::Cut => "connection cut within a request",
         })
     }
--- a/crates/http-edge/src/message.rs
+++ b/crates/http-edge/src/message.rs
@@ -8,6 +8,8 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 
+use crate::body::Body;
+
 /// A request with its complete body.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -18,13 +20,13 @@
     /// Headers. On sending, `Content-Length` and `Transfer-Encoding` are replaced.
     pub headers: HeaderMap,
     /// Complete body without chunk headers.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 impl Request {
     /// Creates a request without headers.
     #[must_use]
-    pub fn new(method: Method, target: impl Into<String>, body: impl Into<Bytes>) -> Self {
+    pub fn new(method: Method, target: impl Into<String>, body: impl Into<Body>) -> Self {
         Self {
             method,
             target: target.into(),
@@ -36,12 +38,12 @@
     /// Creates a `GET` request without a body.
     #[must_use]
     pub fn get(target: impl Into<String>) -> Self {
-        Self::new(Method::GET, target, Bytes::new())
+        Self::new(Method::GET, target, Body::default())
     }
 
     /// Creates a `POST` request without headers.
     #[must_use]
-    pub fn post(target: impl Into<String>, body: impl Into<Bytes>) -> Self {
+    pub fn post(target: impl Into<String>, body: impl Into<Body>) -> Self {
         Self::new(Method::POST, target, body)
     }
 
--- a/crates/http-edge/src/pool.rs
+++ b/crates/http-edge/src/pool.rs
@@ -9,7 +9,7 @@
 
 use crate::client::Conn;
 use crate::error::ConnectError;
-use crate::limited::Limits;
+use crate::limits::Limits;
 
 /// Settings of a [`Pool`].
 #[derive(Debug, Clone, Copy)]
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -14,16 +14,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::StatusCode;
 use monoio::io::Splitable;
 use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 
+use crate::budget::MemoryBudget;
+use crate::head::RawHead;
 use crate::latch::Latch;
-use crate::limited::Limits;
-use crate::limited::ReadBudget;
+use crate::limits::Limits;
 use crate::message::Request;
 use crate::message::Response;
+use crate::server::reader::ConnState;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -42,6 +45,13 @@
 pub trait Handler: 'static {
     /// Returns the response to one request.
     fn handle(&self, req: Request) -> impl Future<Output = Response>;
+
+    /// Returns the response to a request for which there is no memory; its head is given if it is
+    /// whole. The request is not handled.
+    fn refuse(&self, head: Option<&RawHead>) -> Response {
+        let _ = head;
+        Response::text(StatusCode::SERVICE_UNAVAILABLE, "no memory")
+    }
 }
 
 /// Settings of a server.
@@ -49,10 +59,16 @@
 pub struct ServerCfg {
     /// Size limits of requests.
     pub limits: Limits,
-    /// Connections on which no request arrives for this time are closed.
+    /// Connections on which nothing arrives, or nothing can be written, for this time are closed.
     pub idle_timeout: Duration,
-    /// Most open connections; further ones are closed immediately.
+    /// Longest time from the first byte of a request's head to its last.
+    pub head_timeout: Duration,
+    /// Most open connections of this server; further ones are closed immediately.
     pub max_connections: usize,
+    /// How long the input of a refused request is dropped, so that its client can read the refusal.
+    pub linger_timeout: Duration,
+    /// Most bytes of it that are dropped.
+    pub linger_bytes: usize,
 }
 
 impl Default for ServerCfg {
@@ -60,7 +76,10 @@
         Self {
             limits: Limits::default(),
             idle_timeout: Duration::from_mins(1),
+            head_timeout: Duration::from_mins(1),
             max_connections: 4096,
+            linger_timeout: Duration::from_millis(250),
+            linger_bytes: 256 * 1024,
         }
     }
 }
@@ -82,8 +101,9 @@
     shared: Rc<Shared>,
 }
 
-#[derive(Default)]
 struct Shared {
+    cfg: Rc<Cell<ServerCfg>>,
+    budget: MemoryBudget,
     /// Set once responses carry `Connection: close`.
     draining: Latch,
     /// Set once the server stops accepting connections and closes idle ones.
@@ -95,15 +115,30 @@
 }
 
 impl Server {
-    /// Starts accepting connections on the current runtime.
+    /// Starts accepting connections on the current runtime, with a budget of its own.
     pub fn start<H: Handler>(listener: TcpListener, handler: Rc<H>, cfg: ServerCfg) -> Self {
-        let shared = Rc::new(Shared::default());
-        monoio::spawn(accept_connections(
-            listener,
-            handler,
+        let cfg = Rc::new(Cell::new(cfg));
+        Self::start_within(MemoryBudget::default(), listener, handler, cfg)
+    }
+
+    /// Starts accepting connections within a budget that other servers may share. Changes of the
+    /// settings hold from the next request of each connection on.
+    pub fn start_within<H: Handler>(
+        budget: MemoryBudget,
+        listener: TcpListener,
+        handler: Rc<H>,
+        cfg: Rc<Cell<ServerCfg>>,
+    ) -> Self {
+        let shared = Rc::new(Shared {
             cfg,
-            Rc::clone(&shared),
-        ));
+            budget,
+            draining: Latch::default(),
+            closing: Latch::default(),
+            listener_closed: Latch::default(),
+            open_connections: Cell::new(0),
+            active_requests: Cell::new(0),
+        });
+        monoio::spawn(accept_connections(listener, handler, Rc::clone(&shared)));
         Self { shared }
     }
 
@@ -137,19 +172,14 @@
     }
 }
 
-async fn accept_connections<H: Handler>(
-    listener: TcpListener,
-    handler: Rc<H>,
-    cfg: ServerCfg,
-    shared: Rc<Shared>,
-) {
+async fn accept_connections<H: Handler>(listener: TcpListener, handler: Rc<H>, shared: Rc<Shared>) {
     loop {
         let accepted = monoio::select! {
             () = shared.closing.wait() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &handler, cfg, &shared),
+            Ok((stream, _)) => spawn_connection(stream, &handler, &shared),
             Err(e) => {
                 log::warn!("http: accept failed: {e}");
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -160,12 +190,12 @@
     let end = Instant::now() + BACKLOG_DRAIN_TIMEOUT;
     while Instant::now() < end {
         match monoio::time::timeout(BACKLOG_POLL_TIMEOUT, listener.accept()).await {
-            Ok(Ok((stream, _))) => spawn_connection(stream, &handler, cfg, &shared),
+            Ok(Ok((stream, _))) => spawn_connection(stream, &handler, &shared),
             _ => break,
         }
     }
     while let Some(stream) = try_accept(&listener).await {
-        spawn_connection(stream, &handler, cfg, &shared);
+        spawn_connection(stream, &handler, &shared);
     }
     drop(listener);
     shared.listener_closed.set();
@@ -181,47 +211,50 @@
     }
 }
 
-fn spawn_connection<H: Handler>(
-    stream: TcpStream,
-    handler: &Rc<H>,
-    cfg: ServerCfg,
-    shared: &Rc<Shared>,
-) {
-    if shared.open_connections.get() >= cfg.max_connections {
+fn spawn_connection<H: Handler>(stream: TcpStream, handler: &Rc<H>, shared: &Rc<Shared>) {
+    if shared.open_connections.get() >= shared.cfg.get().max_connections {
         log::warn!("http: connection limit reached, closed a new connection");
         return;
     }
+    let Some(account) = shared.budget.open() else {
+        log::warn!("http: requests run on all connections, closed a new one");
+        return;
+    };
     let guard = CountGuard::new(shared, |shared| &shared.open_connections);
     let handler = Rc::clone(handler);
     let shared = Rc::clone(shared);
+    let conn = ConnState {
+        account,
+        has_begun: Cell::new(false),
+    };
     monoio::spawn(async move {
-        serve_connection(stream, handler, cfg, shared).await;
+        serve_connection(stream, &handler, &conn, &shared).await;
         drop(guard);
     });
 }
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
-    handler: Rc<H>,
-    cfg: ServerCfg,
-    shared: Rc<Shared>,
+    handler: &Rc<H>,
+    conn: &ConnState,
+    shared: &Rc<Shared>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let (r, w) = stream.into_split();
     let (tx, rx) = channel::channel();
-    let budget = ReadBudget::new(cfg.limits.max_head_bytes);
     // Reads while a request is handled, so that a disconnect is detected.
     let read_loop = async {
-        reader::read_requests(r, tx, cfg, budget.clone()).await;
+        reader::read_requests(r, tx, conn, shared).await;
         // The write loop may still have a response to write, and ends the connection after it.
         std::future::pending::<()>().await;
     };
-    let write_loop = writer::serve_requests(w, (rx, budget.clone()), handler, shared);
+    let write_loop = writer::serve_requests(w, rx, conn, (handler, shared));
     monoio::select! {
         () = write_loop => {}
         () = read_loop => {}
+        () = conn.account.closing() => {}
     }
 }
 
--- a/crates/http-edge/src/server/reader.rs
+++ b/crates/http-edge/src/server/reader.rs
@@ -1,27 +1,32 @@
 //! Reads requests from one connection.
 
+use std::cell::Cell;
+
+use bytes::Bytes;
+use http::HeaderMap;
 use http::Version;
 use http::header::CONNECTION;
 use http::header::EXPECT;
-use http::request::Parts;
 use monoio::io::OwnedReadHalf;
-use monoio::io::stream::Stream;
 use monoio::net::TcpStream;
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::DecodeError;
-use monoio_http::h1::codec::decoder::FillPayload;
-use monoio_http::h1::codec::decoder::RequestDecoder;
 
-use crate::catch_panic::catch_panic;
-use crate::client::collect_body;
+use crate::body::Body;
+use crate::budget::Account;
+use crate::budget::Eviction;
+use crate::budget::HEADER_LINE_BYTES;
+use crate::budget::Size;
 use crate::error::RequestError;
 use crate::framing;
 use crate::framing::Framing;
-use crate::limited::LimitedReader;
-use crate::limited::Limits;
-use crate::limited::ReadBudget;
+use crate::head::MalformedHead;
+use crate::head::RawHead;
+use crate::incoming::MessageReader;
+use crate::incoming::Pace;
+use crate::incoming::ReadError;
+use crate::incoming::Terms;
 use crate::message::Request;
 use crate::server::ServerCfg;
+use crate::server::Shared;
 use crate::server::channel::Sender;
 
 /// What the reader passes to the writer.
@@ -32,6 +37,10 @@
     ExpectContinue,
     /// Reading failed; no further request follows.
     Error(RequestError),
+    /// There is no memory for a request, whose head is given if it is whole. What follows is dropped.
+    Refused(Option<RawHead>),
+    /// The connection gives way to another one before a further request.
+    Close,
 }
 
 /// Whether the connection stays open after the response.
@@ -43,115 +52,194 @@
     Close,
 }
 
-type Decoder = RequestDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>;
+/// Why no request was read.
+enum Failure {
+    Request(RequestError),
+    /// There is no memory for it.
+    NoRoom,
+}
+
+impl From<RequestError> for Failure {
+    fn from(e: RequestError) -> Self {
+        Self::Request(e)
+    }
+}
+
+impl From<MalformedHead> for Failure {
+    fn from(_: MalformedHead) -> Self {
+        RequestError::Malformed.into()
+    }
+}
+
+impl From<ReadError> for Failure {
+    fn from(e: ReadError) -> Self {
+        match e {
+            ReadError::Cut(_) => RequestError::Cut.into(),
+            ReadError::Malformed => RequestError::Malformed.into(),
+            ReadError::TooLarge => RequestError::TooLarge.into(),
+            ReadError::Idle => RequestError::Idle.into(),
+            ReadError::Stalled => RequestError::Stalled.into(),
+            ReadError::NoRoom => Self::NoRoom,
+        }
+    }
+}
+
+/// State of a connection that its reader and its writer share.
+pub(super) struct ConnState {
+    pub(super) account: Account,
+    /// Whether bytes of the next request have been read.
+    pub(super) has_begun: Cell<bool>,
+}
 
 /// Reads requests until the connection ends or a request is invalid.
 pub(super) async fn read_requests(
     r: OwnedReadHalf<TcpStream>,
     tx: Sender<Incoming>,
-    cfg: ServerCfg,
-    budget: ReadBudget,
+    conn: &ConnState,
+    shared: &Shared,
 ) {
-    let decoder =
-        RequestDecoder::new_with_timeout(LimitedReader::new(r, budget.clone()), cfg.idle_timeout);
     let mut reader = Reader {
-        decoder,
-        budget,
-        limits: cfg.limits,
+        input: MessageReader::new(r),
+        conn,
+        shared,
+        head: None,
         tx,
     };
     loop {
-        let read = catch_panic(reader.read_request()).await;
-        let incoming = match read.unwrap_or(Err(RequestError::Malformed)) {
-            Ok(Some(incoming)) => incoming,
+        let read = monoio::select! {
+            read = reader.read_request() => read,
+            eviction = conn.account.evicted() => return reader.give_way(eviction).await,
+        };
+        match read {
+            Ok(Some(incoming)) => reader.tx.send(incoming).await,
             Ok(None) => return,
-            Err(error) => {
-                reader.tx.send(Incoming::Error(error)).await;
-                return;
+            Err(Failure::NoRoom) => return reader.refuse().await,
+            Err(Failure::Request(e)) => {
+                conn.account.release();
+                return reader.tx.send(Incoming::Error(e)).await;
             }
-        };
-        reader.tx.send(incoming).await;
+        }
     }
 }
 
-struct Reader {
-    decoder: Decoder,
-    budget: ReadBudget,
-    limits: Limits,
+struct Reader<'a> {
+    input: MessageReader<OwnedReadHalf<TcpStream>>,
+    conn: &'a ConnState,
+    shared: &'a Shared,
+    /// Head of the request whose body is being read.
+    head: Option<RawHead>,
     tx: Sender<Incoming>,
 }
 
-impl Reader {
+impl Reader<'_> {
     /// Reads the next request; `None` at the end of the connection.
-    async fn read_request(&mut self) -> Result<Option<Incoming>, RequestError> {
-        self.budget.begin_message(self.limits.max_head_bytes);
-        let head = match self.decoder.next().await {
-            None => return Ok(None),
-            Some(head) => head.map_err(|e| self.to_request_error(&e))?,
+    async fn read_request(&mut self) -> Result<Option<Incoming>, Failure> {
+        let cfg = self.shared.cfg.get();
+        let conn = self.conn;
+        let terms = Terms {
+            account: Some(&conn.account),
+            pace: Some(pace(&cfg)),
+        };
+        conn.has_begun.set(false);
+        let began = || conn.has_begun.set(true);
+        let max_head = cfg.limits.max_head_bytes;
+        let Some(bytes) = self.input.read_head(max_head, terms, began).await? else {
+            return Ok(None);
         };
-        self.budget.reset(self.limits.max_wire_bytes());
-        let (parts, payload) = head.into_parts();
-        let framing = framing::of_message(parts.version, &parts.headers);
+        let head = RawHead::new(bytes);
+        let (version, headers) = head.request_transport()?;
+        self.head = Some(head.clone());
+        let framing = framing::of_message(version, &headers);
         let framing = framing.map_err(|_| RequestError::Malformed)?;
-        if framing.declared_length() > self.limits.max_body_bytes {
-            return Err(RequestError::TooLarge);
+        if framing.declared_length() > cfg.limits.max_body_bytes {
+            return Err(RequestError::TooLarge.into());
         }
-        self.send_continue_if_expected(&parts, framing).await?;
-        let filled = self.decoder.fill_payload().await;
-        filled.map_err(|e| self.to_request_error(&e))?;
-        let body = collect_body(payload)
+        self.send_continue_if_expected(version, &headers, framing)
+            .await?;
+        let max_body = cfg.limits.max_body_bytes;
+        let parts = self.input.read_body(framing, max_body, terms).await?;
+        self.build_request(&head, parts, persistence(version, &headers))
             .await
-            .map_err(|e| self.to_request_error(&e))?;
-        if body.len() > self.limits.max_body_bytes {
-            return Err(RequestError::TooLarge);
-        }
-        let persistence = persistence(&parts);
-        let target = parts.uri.path_and_query();
+            .map(Some)
+    }
+
+    /// Builds the request once it is whole.
+    async fn build_request(
+        &mut self,
+        head: &RawHead,
+        parts: Vec<Bytes>,
+        persistence: Persistence,
+    ) -> Result<Incoming, Failure> {
+        let account = &self.conn.account;
+        let parsed_bytes = head.lines() * HEADER_LINE_BYTES;
+        let taken = account.take(Size::Small, parsed_bytes).await;
+        taken.map_err(|_| Failure::NoRoom)?;
+        let parsed = head.request()?;
+        self.head = None;
         let req = Request {
-            target: target.map_or("/", |target| target.as_str()).to_owned(),
-            method: parts.method,
-            headers: parts.headers,
-            body,
+            target: parsed.target,
+            method: parsed.method,
+            headers: parsed.headers,
+            body: Body::from_parts(parts).with_charge(account.detach()),
         };
-        Ok(Some(Incoming::Request(req, persistence)))
+        Ok(Incoming::Request(req, persistence))
     }
 
     /// Has the writer send `100 Continue` if the client waits for it.
     async fn send_continue_if_expected(
         &self,
-        parts: &Parts,
+        version: Version,
+        headers: &HeaderMap,
         framing: Framing,
     ) -> Result<(), RequestError> {
-        let Some(expected) = parts.headers.get(EXPECT) else {
+        let Some(expected) = headers.get(EXPECT) else {
             return Ok(());
         };
         if !expected.as_bytes().eq_ignore_ascii_case(b"100-continue") {
             return Err(RequestError::Expectation);
         }
         // HTTP/1.0 has no interim responses.
-        let is_waiting = parts.version != Version::HTTP_10 && framing != Framing::Empty;
+        let is_waiting = version != Version::HTTP_10 && framing != Framing::Empty;
         if is_waiting {
             self.tx.send(Incoming::ExpectContinue).await;
         }
         Ok(())
     }
 
-    fn to_request_error(&self, e: &HttpError) -> RequestError {
-        if self.budget.has_refused_read() {
-            return RequestError::TooLarge;
-        }
-        match e {
-            HttpError::H1DecodeError(DecodeError::TimedOut) => RequestError::Idle,
-            HttpError::H1DecodeError(DecodeError::UnexpectedEof | DecodeError::Io(_))
-            | HttpError::IOError(_) => RequestError::Cut,
-            _ => RequestError::Malformed,
+    /// Ends the connection since others need what it takes.
+    async fn give_way(self, eviction: Eviction) {
+        match (self.conn.has_begun.get(), eviction) {
+            (true, Eviction::Memory) => return self.refuse().await,
+            (true, Eviction::Connections) => {
+                self.conn.account.release();
+                return self.tx.send(Incoming::Refused(self.head)).await;
+            }
+            (false, _) => {}
         }
+        log::debug!("http: closed a connection for others: {eviction:?}");
+        self.tx.send(Incoming::Close).await;
+    }
+
+    /// Has the writer refuse the request that has begun, and drops what follows, so that the client
+    /// can read the refusal.
+    async fn refuse(mut self) {
+        let head = self.head.take();
+        let cfg = self.shared.cfg.get();
+        self.conn.account.release();
+        self.tx.send(Incoming::Refused(head)).await;
+        self.input.drop_input(cfg.linger_bytes).await;
+    }
+}
+
+fn pace(cfg: &ServerCfg) -> Pace {
+    Pace {
+        idle: cfg.idle_timeout,
+        head: cfg.head_timeout,
     }
 }
 
-fn persistence(parts: &Parts) -> Persistence {
-    let has_close = framing::has_token(&parts.headers, &CONNECTION, "close");
-    if has_close || parts.version != Version::HTTP_11 {
+fn persistence(version: Version, headers: &HeaderMap) -> Persistence {
+    if framing::has_token(headers, &CONNECTION, "close") || version != Version::HTTP_11 {
         Persistence::Close
     } else {
         Persistence::KeepAlive
--- a/crates/http-edge/src/server/writer.rs
+++ b/crates/http-edge/src/server/writer.rs
@@ -4,24 +4,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Buf;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Method;
 use http::header::CONNECTION;
-use monoio::io::AsyncWriteRentExt;
+use monoio::io::AsyncWriteRent;
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
 
 use crate::encode;
 use crate::encode::BodyMode;
 use crate::error::RequestError;
-use crate::limited::ReadBudget;
 use crate::message::Request;
 use crate::message::Response;
 use crate::server::CountGuard;
 use crate::server::Handler;
 use crate::server::Shared;
 use crate::server::channel::Receiver;
+use crate::server::reader::ConnState;
 use crate::server::reader::Incoming;
 use crate::server::reader::Persistence;
 
@@ -29,30 +30,47 @@
 /// one before it learned of the close.
 const CLOSE_LINGER: Duration = Duration::from_millis(250);
 
-type Writer = OwnedWriteHalf<TcpStream>;
+struct Writer {
+    io: OwnedWriteHalf<TcpStream>,
+    /// Longest time without any byte written.
+    idle_timeout: Duration,
+}
 
 /// Handles requests in order, one at a time.
 pub(super) async fn serve_requests<H: Handler>(
-    mut w: Writer,
-    (mut rx, budget): (Receiver<Incoming>, ReadBudget),
-    handler: Rc<H>,
-    shared: Rc<Shared>,
+    io: OwnedWriteHalf<TcpStream>,
+    mut rx: Receiver<Incoming>,
+    conn: &ConnState,
+    (handler, shared): (&Rc<H>, &Rc<Shared>),
 ) {
+    let idle_timeout = shared.cfg.get().idle_timeout;
+    let mut w = Writer { io, idle_timeout };
     let mut pipelined = None;
     loop {
         let incoming = if pipelined.is_some() {
             pipelined.take()
         } else {
-            next_request(&mut rx, &budget, &shared).await
+            next_request(&mut rx, conn, shared).await
         };
         let Some(incoming) = incoming else { return };
-        let guard = CountGuard::new(&shared, |shared| &shared.active_requests);
+        let guard = CountGuard::new(shared, |shared| &shared.active_requests);
         let next = match incoming {
             Incoming::Request(req, persistence) => {
-                handle_request(&mut w, &mut rx, &handler, &shared, (req, persistence)).await
+                conn.account.set_running(true);
+                let next =
+                    handle_request(&mut w, &mut rx, handler, shared, (req, persistence)).await;
+                conn.account.set_running(false);
+                next
             }
             Incoming::ExpectContinue => send_continue(&mut w).await,
             Incoming::Error(error) => send_error(&mut w, error).await,
+            Incoming::Refused(head) => {
+                send_refusal(&mut w, handler.refuse(head.as_ref())).await;
+                let linger = shared.cfg.get().linger_timeout;
+                let _ = monoio::time::timeout(linger, rx.recv()).await;
+                NextStep::Close
+            }
+            Incoming::Close => NextStep::Close,
         };
         drop(guard);
         match next {
@@ -67,7 +85,7 @@
 /// [`CLOSE_LINGER`] of the start of a close. One that has begun to arrive is awaited.
 async fn next_request(
     rx: &mut Receiver<Incoming>,
-    budget: &ReadBudget,
+    conn: &ConnState,
     shared: &Shared,
 ) -> Option<Incoming> {
     monoio::select! {
@@ -78,7 +96,7 @@
         if let Ok(incoming) = monoio::time::timeout(CLOSE_LINGER, rx.recv()).await {
             return incoming;
         }
-        if !budget.has_begun() {
+        if !conn.has_begun.get() {
             return None;
         }
     }
@@ -135,8 +153,10 @@
 }
 
 async fn send_continue(w: &mut Writer) -> NextStep {
-    let (written, _) = w.write_all(encode::CONTINUE_RESPONSE).await;
-    written.map_or(NextStep::Close, |_| NextStep::ReadNext)
+    let written = w
+        .write_all(Bytes::from_static(encode::CONTINUE_RESPONSE))
+        .await;
+    written.map_or(NextStep::Close, |()| NextStep::ReadNext)
 }
 
 async fn send_error(w: &mut Writer, error: RequestError) -> NextStep {
@@ -148,11 +168,29 @@
     NextStep::Close
 }
 
+/// Refuses a request for which there is no memory. The client may still be sending.
+async fn send_refusal(w: &mut Writer, res: Response) {
+    let res = res.with_header("connection", "close");
+    let _ = write_response(w, res, BodyMode::Full).await;
+}
+
 async fn write_response(w: &mut Writer, res: Response, body_mode: BodyMode) -> io::Result<()> {
     let (head, body): (_, Bytes) = encode::encode_response(res, body_mode);
-    w.write_all(head).await.0?;
-    if !body.is_empty() {
-        w.write_all(body).await.0?;
+    w.write_all(head).await?;
+    w.write_all(body).await
+}
+
+impl Writer {
+    /// Writes all bytes; fails if none can be written for too long.
+    async fn write_all(&mut self, mut bytes: Bytes) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = monoio::time::timeout(self.idle_timeout, self.io.write(bytes.clone()));
+            let written = written.await.map_err(|_| io::ErrorKind::TimedOut)?;
+            match written.0? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => bytes.advance(n),
+            }
+        }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -1,7 +1,10 @@
 //! Tests of server and client, with each other and with raw sockets.
 
+mod budget;
+mod chunks;
 mod endless;
 mod fuzz;
+mod heads;
 mod latch;
 mod requests;
 mod responses;
@@ -43,7 +46,7 @@
             "/304" => StatusCode::NOT_MODIFIED,
             _ => StatusCode::OK,
         };
-        Response::new(status, req.body).with_header("x-path", req.target)
+        Response::new(status, req.body.to_bytes()).with_header("x-path", req.target)
     }
 }
 
@@ -167,7 +170,7 @@
             "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
             "HTTP/1.1 400",
         );
-        check(&format!("GET / HTTP/1.1\r\n{many}\r\n"), "HTTP/1.1 400");
+        check(&format!("GET / HTTP/1.1\r\n{many}\r\n"), "HTTP/1.1 413");
         check(
             "GET /ok HTTP/1.1\r\nconnection: close\r\n\r\n",
             "HTTP/1.1 200",
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -299,7 +299,7 @@
             return Response::new(StatusCode::OK, body);
         }
         if req.path() == DEPARTURES_PATH && req.header(CALL_HEADER).is_none() {
-            return Box::pin(self.node.write_for_peer(&req.body)).await;
+            return Box::pin(self.node.write_for_peer(&req.body.to_bytes())).await;
         }
         if req.path() == TRANSFER_PATH && req.header(CALL_HEADER).is_none() {
             return match self.node.answer_grant(&req).await {
--- a/standins/log/src/service.rs
+++ b/standins/log/src/service.rs
@@ -71,9 +71,12 @@
             return Response::text(StatusCode::NOT_FOUND, "no such request");
         };
         match api_request {
-            ApiRequest::Faults => self.handle_set_faults(&req.body),
+            ApiRequest::Faults => self.handle_set_faults(&req.body.to_bytes()),
             ApiRequest::Counters => json(StatusCode::OK, &self.counters()),
-            ApiRequest::Append { stream } => self.respond(self.append(stream, &req.body)).await,
+            ApiRequest::Append { stream } => {
+                self.respond(self.append(stream, &req.body.to_bytes()))
+                    .await
+            }
             ApiRequest::Read { stream, range } => self.respond(self.read(stream, range)).await,
             ApiRequest::Bounds { stream } => self.respond(async { self.bounds(stream) }).await,
         }
--- a/standins/store/src/service.rs
+++ b/standins/store/src/service.rs
@@ -76,7 +76,7 @@
         }
         let appended = self.with_topic(name, |topic| {
             topic
-                .append(req.body.clone())
+                .append(req.body.to_bytes())
                 .map(|offset| (offset, topic.end()))
         });
         if self.faults.drops_append_responses.get() {
--- a/standins/upstream/src/service.rs
+++ b/standins/upstream/src/service.rs
@@ -200,7 +200,7 @@
     }
 
     fn handle_set_faults(&self, req: &Request) -> Response {
-        match serde_json::from_slice(&req.body) {
+        match serde_json::from_slice(&req.body.to_bytes()) {
             Ok(faults) => {
                 log::info!("upstream: faults set to {faults:?}");
                 self.set_faults(faults);
