sidecar: clients' requests stay within the machine's memory and descriptors

Cause: a daemon took what clients sent without any bound for all of them, with constants in place of the configuration's limits: heads of 64 KiB, bodies of 8 MiB.

Change: all servers of a daemon share a budget of 7/10 of `MemoryMb` and of 3/4 of `MaxFds` without the 200 reserved ones; the limits of heads and bodies and the time for a head (doubled) are those of the configuration in force. A client whose request finds no room gets 503 with a time to come back; a peer is told that the request did not run, and reads that after it has sent its body. A grant for a large body is refused when there is no room. `request-unread` in the log, three metrics.

--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -6,6 +6,7 @@
 use base::ServiceName;
 use smol_str::SmolStr;
 
+use crate::config::ClientLimits;
 use crate::config::Config;
 use crate::config::ConfigVersion;
 use crate::config::Route;
@@ -20,6 +21,7 @@
     by_host: FastMap<SmolStr, Vec<Rc<Route>>>,
     services: FastMap<ServiceName, Service>,
     customers: Option<CustomerTable>,
+    limits: Option<ClientLimits>,
 }
 
 /// Result of [`ActiveTable::adopt`].
@@ -51,9 +53,16 @@
             by_host,
             services: cfg.services.clone(),
             customers: cfg.customers.as_deref().map(CustomerTable::new),
+            limits: Some(cfg.limits),
         }
     }
 
+    /// Returns the limits on requests of clients; `None` in an empty table.
+    #[must_use]
+    pub fn limits(&self) -> Option<&ClientLimits> {
+        self.limits.as_ref()
+    }
+
     /// Returns the customers; `None` if the deployment has none, and requests carry no keys.
     #[must_use]
     pub fn customers(&self) -> Option<&CustomerTable> {
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -210,6 +210,9 @@
     queued_calls: Gauge<u64>,
     kept_slots: Gauge<u64>,
     instance_requests: Counter<u64>,
+    request_memory: Gauge<u64>,
+    open_connections: Gauge<u64>,
+    requests_unread: Counter<u64>,
     instance_ends: Counter<u64>,
     requests_quarantined: Counter<u64>,
     instance_limit: Gauge<f64>,
@@ -263,6 +266,9 @@
             running_calls: gauge(&meter, "bronzehead_running_calls"),
             queued_calls: gauge(&meter, "bronzehead_queued_calls"),
             kept_slots: gauge(&meter, "bronzehead_kept_slots"),
+            request_memory: gauge(&meter, "bronzehead_request_memory_bytes"),
+            open_connections: gauge(&meter, "bronzehead_open_connections"),
+            requests_unread: counter(&meter, "bronzehead_requests_unread", ""),
             instance_requests: counter(&meter, "bronzehead_instance_requests", ""),
             instance_ends: counter(&meter, "bronzehead_instance_ends", ""),
             requests_quarantined: counter(&meter, "bronzehead_requests_quarantined", ""),
@@ -363,6 +369,18 @@
         self.kept_slots.record(u64::from(kept), &[]);
     }
 
+    /// Sets what requests and connections take of the memory, and the number of connections.
+    pub fn set_request_memory(&self, bytes: usize, connections: usize) {
+        self.request_memory.record(bytes as u64, &[]);
+        self.open_connections.record(connections as u64, &[]);
+    }
+
+    /// Counts requests and connections that gave way to others, or found no room.
+    pub fn record_unread(&self, reason: &'static str, count: u64) {
+        self.requests_unread
+            .add(count, &[static_label("reason", reason)]);
+    }
+
     /// Counts a request that was sent to the local instance.
     pub fn record_instance_request(&self) {
         self.instance_requests.add(1, &[]);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http_edge::CallError;
 use http_edge::Handler;
+use http_edge::RawHead;
 use http_edge::Request;
 use http_edge::Response;
 use mesh::balancer::ReportSource;
@@ -330,6 +331,11 @@
         };
         self.node.encode_reply(result.outcome, result.res, crash)
     }
+
+    fn refuse(&self, head: Option<&RawHead>) -> Response {
+        let outcome = self.node.refuse_unread_of_peer(head);
+        self.node.encode_reply(outcome, None, None)
+    }
 }
 
 impl Node {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -7,6 +7,7 @@
 
 use base::DaemonId;
 use http_edge::Handler;
+use http_edge::RawHead;
 use http_edge::Request;
 use http_edge::Response;
 use ledger::Idempotency;
@@ -81,6 +82,10 @@
         node.record_transfer(Direction::Out, res.wire_size());
         res
     }
+
+    fn refuse(&self, head: Option<&RawHead>) -> Response {
+        self.node.refuse_unread(head)
+    }
 }
 
 /// Whose request it is.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 mod identity;
 mod ingress;
 mod knowledge;
+mod limits;
 pub mod logs;
 mod members;
 mod move_controller;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -65,6 +65,7 @@
 use crate::clock;
 use crate::cold::ColdGuard;
 use crate::dispatcher::InstanceDispatcher;
+use crate::limits::RequestLimits;
 use crate::logs::EventClass;
 use crate::logs::EventLog;
 use crate::quarantine::CrashDetector;
@@ -133,6 +134,7 @@
     /// Requests that were released from the quarantine, yet to be stored.
     pub released: RefCell<Vec<quarantine::Record>>,
     pub transfers: TransferGate,
+    pub limits: RequestLimits,
     pub peer_conns: Pool,
     pub store: StoreClient,
     pub caps: CapGate,
@@ -216,6 +218,7 @@
             cold: ColdGuard::new(started_at),
             released: RefCell::default(),
             transfers: TransferGate::new(boot.link_mbps),
+            limits: RequestLimits::new(&boot),
             peer_conns: Pool::new(pool_cfg),
             store: StoreClient::new(boot.store_address),
             caps: CapGate::new(
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -80,21 +80,6 @@
 /// daemons.
 const LAST_REFUSALS: Duration = Duration::from_millis(200);
 
-/// Idle time after which the server closes a connection from a peer: three times as long as the
-/// peer reuses it.
-const PEER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-
-/// Idle time after which the server closes a client connection; longer than the 15 s or so for
-/// which clients reuse one under the users' configurations.
-const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-
-/// Largest accepted client request body, in bytes. The users' limit is larger, but a machine's
-/// memory holds only a few bodies of that size.
-const MAX_CLIENT_BODY: usize = 8 * 1024 * 1024;
-
-/// Largest accepted client request head, in bytes: four times the users' limit.
-const MAX_CLIENT_HEAD: usize = 64 * 1024;
-
 /// Error that prevents a daemon from starting.
 #[derive(Debug)]
 pub enum StartError {
@@ -199,16 +184,6 @@
 
 fn start(node: &SharedNode) -> Result<Servers, StartError> {
     let boot = node.boot.borrow().clone();
-    let mut cfg = ServerCfg {
-        idle_timeout: CLIENT_IDLE_TIMEOUT,
-        ..ServerCfg::default()
-    };
-    cfg.limits.max_body_bytes = MAX_CLIENT_BODY;
-    cfg.limits.max_head_bytes = MAX_CLIENT_HEAD;
-    let peer_cfg = ServerCfg {
-        idle_timeout: PEER_IDLE_TIMEOUT,
-        ..cfg
-    };
     let peer_address = SocketAddr::new(boot.ip, boot.daemon_ports.0);
     let clients = IngressHandler {
         node: Rc::clone(node),
@@ -225,17 +200,16 @@
     let metrics = MetricsHandler {
         node: Rc::clone(node),
     };
+    let metrics_address = SocketAddr::new(boot.ip, METRICS_PORT);
+    let limits = &node.limits;
+    let control = Rc::default();
     let servers = Servers {
-        clients: serve(boot.request_address, clients, cfg)?,
-        peers: serve(peer_address, peers, peer_cfg)?,
+        clients: serve(node, boot.request_address, clients, &limits.clients)?,
+        peers: serve(node, peer_address, peers, &limits.peers)?,
         control: [
-            serve(boot.heartbeat_address, heartbeats, ServerCfg::default())?,
-            serve(boot.readiness_address, ready, ServerCfg::default())?,
-            serve(
-                SocketAddr::new(boot.ip, METRICS_PORT),
-                metrics,
-                ServerCfg::default(),
-            )?,
+            serve(node, boot.heartbeat_address, heartbeats, &control)?,
+            serve(node, boot.readiness_address, ready, &control)?,
+            serve(node, metrics_address, metrics, &control)?,
         ],
     };
     monoio::spawn(gossip::send_rounds(Rc::clone(node)));
@@ -261,12 +235,20 @@
 }
 
 fn serve<H: Handler>(
+    node: &SharedNode,
     address: SocketAddr,
     handler: H,
-    cfg: ServerCfg,
+    cfg: &Rc<Cell<ServerCfg>>,
 ) -> Result<Server, StartError> {
     let listener = http_edge::listen(address).map_err(|e| StartError::Listen(address, e))?;
-    Ok(Server::start(listener, Rc::new(handler), cfg))
+    let budget = node.limits.budget.clone();
+    let handler = Rc::new(handler);
+    Ok(Server::start_within(
+        budget,
+        listener,
+        handler,
+        Rc::clone(cfg),
+    ))
 }
 
 /// Processes the admission queue and flushes the log at intervals.
@@ -287,6 +269,7 @@
             let limit = node.dispatcher.limit().map(RequestRate::per_sec);
             node.metrics.set_instance_limit(limit);
             node.show_evenness();
+            node.update_limits();
             log::logger().flush();
         }
     }
--- a/crates/sidecar/src/tests/caps.rs
+++ b/crates/sidecar/src/tests/caps.rs
@@ -56,6 +56,8 @@
         grace_period: Duration::from_secs(1),
         cpu_permille: 200,
         link_mbps: 1000,
+        memory_bytes: 110_000_000,
+        max_descriptors: 1024,
         is_first_start: false,
         revoke_within: None,
     }
--- a/crates/sidecar/src/transfer.rs
+++ b/crates/sidecar/src/transfer.rs
@@ -26,6 +26,7 @@
 
 use crate::dispatcher::MAX_RETRY_AFTER;
 use crate::dispatcher::MIN_RETRY_AFTER;
+use crate::limits::MEMORY_RETRY;
 use crate::logs::EventClass;
 use crate::node::Node;
 
@@ -156,6 +157,10 @@
     async fn wait_for_grant(&self, transfer: &TransferHead) -> ForwardOutcome {
         let gate = &self.transfers;
         let key = &transfer.head.request;
+        let bytes = usize::try_from(transfer.bytes).unwrap_or(usize::MAX);
+        if !self.limits.budget.has_room(bytes) {
+            return refused(MEMORY_RETRY);
+        }
         let now = Instant::now();
         let full_value = Duration::from_millis(u64::from(transfer.head.full_value_ms));
         let offered = Transfer {
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -37,6 +37,8 @@
         grace_period: Duration::from_secs(1),
         cpu_permille: 200,
         link_mbps: 1000,
+        memory_bytes: 110_000_000,
+        max_descriptors: 1024,
         is_first_start: false,
         revoke_within: None,
     }
