http-edge: answers that their clients do not read give way

Cause: an answer was kept until its client had read it, with no bound for all of them.

Change: an answer counts toward the budget while it is written. It is never refused; one whose client has taken no byte for 50 ms gives way to others on shortage, and its connection ends. While it is written, its connection counts as idle or stalled for the limit of connections.

Measured: answers_that_nobody_reads_make_room, 10 answers of 16 MiB within a budget of 4 MiB.

--- a/crates/http-edge/src/budget/account.rs
+++ b/crates/http-edge/src/budget/account.rs
@@ -34,6 +34,8 @@
 pub(super) struct AccountState {
     /// Bytes that the incomplete request holds.
     held: Cell<Bytes>,
+    /// Bytes of the answer that is being written.
+    answer: Cell<usize>,
     /// Whether a request of the connection is being handled.
     is_running: Cell<bool>,
     progressed_at: Cell<Instant>,
@@ -47,6 +49,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             held: Cell::default(),
+            answer: Cell::default(),
             is_running: Cell::new(false),
             progressed_at: Cell::new(now),
             eviction: Cell::new(None),
@@ -63,6 +66,14 @@
         self.held.set(self.held.get().plus(more));
     }
 
+    pub(super) fn answer(&self) -> usize {
+        self.answer.get()
+    }
+
+    pub(super) fn set_answer(&self, bytes: usize) {
+        self.answer.set(bytes);
+    }
+
     pub(super) fn take_held(&self) -> Bytes {
         self.held.take()
     }
@@ -86,7 +97,7 @@
     pub(super) fn evict(&self, eviction: Eviction) {
         self.eviction.set(Some(eviction));
         self.evicted.set();
-        if eviction == Eviction::Connections {
+        if eviction == Eviction::Connections || self.answer() > 0 {
             self.closing.set();
         }
     }
@@ -135,7 +146,16 @@
         .await
     }
 
-    /// Records that bytes came in.
+    /// Charges an answer while it is written. It exists already, so this never fails; others give way
+    /// to it, and it gives way to others once its client stops reading.
+    pub(crate) fn hold_answer(&self, bytes: usize) -> AnswerHold<'_> {
+        self.record_progress();
+        let mut ledger = self.shared.ledger.borrow_mut();
+        ledger.hold_answer(&self.state, bytes);
+        AnswerHold { account: self }
+    }
+
+    /// Records that bytes were read or written.
     pub(crate) fn record_progress(&self) {
         self.state.progressed_at.set(Instant::now());
     }
@@ -189,6 +209,20 @@
     }
 }
 
+/// Memory of an answer that is being written, given back when dropped.
+pub(crate) struct AnswerHold<'a> {
+    account: &'a Account,
+}
+
+impl Drop for AnswerHold<'_> {
+    fn drop(&mut self) {
+        let mut ledger = self.account.shared.ledger.borrow_mut();
+        ledger.release_answer(&self.account.state);
+        drop(ledger);
+        self.account.shared.waiting.wake_all();
+    }
+}
+
 /// Memory of a whole request, given back when dropped.
 pub(crate) struct Charge {
     shared: Rc<Shared>,
--- a/crates/http-edge/src/budget/ledger.rs
+++ b/crates/http-edge/src/budget/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use base::FastMap;
@@ -15,6 +16,9 @@
 /// Part of the memory that requests with large bodies may take, in eighths.
 const LARGE_EIGHTHS: usize = 7;
 
+/// Time without a byte written after which the client of an answer counts as not reading.
+const UNREAD_TIME: Duration = Duration::from_millis(50);
+
 /// Connections beyond the limit that may be open for a moment while others close.
 pub(super) const MAX_CLOSING: usize = 32;
 
@@ -178,13 +182,8 @@
         }
         while !self.fits(self.used.minus(self.leaving).plus(more)) {
             let needs_all = self.used.minus(self.leaving).all + more.all > self.limits.max_bytes;
-            let largest = self
-                .evictable()
-                .filter(|other| other.held().all > 0)
-                .filter(|other| needs_all || other.held().large > 0)
-                .max_by_key(|other| (other.held().all, Reverse(other.progressed_at())));
-            let largest = largest.filter(|other| !Rc::ptr_eq(other, state));
-            let Some(largest) = largest.map(Rc::clone) else {
+            let largest = self.largest(needs_all);
+            let Some(largest) = largest.filter(|other| !Rc::ptr_eq(other, state)) else {
                 self.stats.refused += 1;
                 return Step::Refused;
             };
@@ -193,6 +192,29 @@
         Step::Wait
     }
 
+    /// Charges an answer, and evicts others for it.
+    pub(super) fn hold_answer(&mut self, state: &Rc<AccountState>, bytes: usize) {
+        self.used.all += bytes;
+        state.set_answer(bytes);
+        while self.used.minus(self.leaving).all > self.limits.max_bytes {
+            let largest = self.largest(true);
+            let Some(largest) = largest.filter(|other| !Rc::ptr_eq(other, state)) else {
+                return;
+            };
+            self.evict(&largest, Eviction::Memory);
+        }
+    }
+
+    /// Gives back memory of an answer.
+    pub(super) fn release_answer(&mut self, state: &AccountState) {
+        let answer = Bytes::of(Size::Small, state.answer());
+        state.set_answer(0);
+        self.used = self.used.minus(answer);
+        if state.is_evicted() {
+            self.leaving = self.leaving.minus(answer);
+        }
+    }
+
     /// Gives back memory of an incomplete request.
     pub(super) fn release(&mut self, state: &AccountState) {
         let held = self.detach(state);
@@ -218,13 +240,31 @@
         bytes.all <= max && bytes.large <= max / 8 * LARGE_EIGHTHS
     }
 
+    /// Returns the connection whose incomplete request, and answer that its client does not read, hold the
+    /// most; without regard to those that hold nothing of a large body unless all count.
+    fn largest(&self, all_count: bool) -> Option<Rc<AccountState>> {
+        let now = Instant::now();
+        let held = |state: &AccountState| {
+            let is_unread = now.duration_since(state.progressed_at()) >= UNREAD_TIME;
+            let answer = if is_unread { state.answer() } else { 0 };
+            state.held().plus(Bytes::of(Size::Small, answer))
+        };
+        let largest = self
+            .evictable()
+            .map(|state| (held(state), state))
+            .filter(|(held, _)| held.large > 0 || (all_count && held.all > 0))
+            .max_by_key(|(held, state)| (held.all, Reverse(state.progressed_at())));
+        largest.map(|(_, state)| Rc::clone(state))
+    }
+
     fn evictable(&self) -> impl Iterator<Item = &Rc<AccountState>> {
         self.accounts.values().filter(|state| !state.is_evicted())
     }
 
     fn evict(&mut self, state: &AccountState, eviction: Eviction) {
         if !state.is_evicted() {
-            self.leaving = self.leaving.plus(state.held());
+            let answer = Bytes::of(Size::Small, state.answer());
+            self.leaving = self.leaving.plus(state.held()).plus(answer);
         }
         match eviction {
             Eviction::Memory => self.stats.evicted += 1,
--- a/crates/http-edge/src/server/writer.rs
+++ b/crates/http-edge/src/server/writer.rs
@@ -13,6 +13,7 @@
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
 
+use crate::budget::Account;
 use crate::encode;
 use crate::encode::BodyMode;
 use crate::error::RequestError;
@@ -30,8 +31,9 @@
 /// one before it learned of the close.
 const CLOSE_LINGER: Duration = Duration::from_millis(250);
 
-struct Writer {
+struct Writer<'a> {
     io: OwnedWriteHalf<TcpStream>,
+    account: &'a Account,
     /// Longest time without any byte written.
     idle_timeout: Duration,
 }
@@ -44,7 +46,11 @@
     (handler, shared): (&Rc<H>, &Rc<Shared>),
 ) {
     let idle_timeout = shared.cfg.get().idle_timeout;
-    let mut w = Writer { io, idle_timeout };
+    let mut w = Writer {
+        io,
+        account: &conn.account,
+        idle_timeout,
+    };
     let mut pipelined = None;
     loop {
         let incoming = if pipelined.is_some() {
@@ -56,11 +62,7 @@
         let guard = CountGuard::new(shared, |shared| &shared.active_requests);
         let next = match incoming {
             Incoming::Request(req, persistence) => {
-                conn.account.set_running(true);
-                let next =
-                    handle_request(&mut w, &mut rx, handler, shared, (req, persistence)).await;
-                conn.account.set_running(false);
-                next
+                handle_request(&mut w, &mut rx, handler, shared, (req, persistence)).await
             }
             Incoming::ExpectContinue => send_continue(&mut w).await,
             Incoming::Error(error) => send_error(&mut w, error).await,
@@ -111,13 +113,14 @@
 }
 
 async fn handle_request<H: Handler>(
-    w: &mut Writer,
+    w: &mut Writer<'_>,
     rx: &mut Receiver<Incoming>,
     handler: &Rc<H>,
     shared: &Shared,
     (req, persistence): (Request, Persistence),
 ) -> NextStep {
     let body_mode = body_mode(&req);
+    w.account.set_running(true);
     let mut reply = std::pin::pin!(handler.handle(req));
     let mut next = NextStep::ReadNext;
     let first = monoio::select! {
@@ -133,6 +136,7 @@
             reply.await
         }
     };
+    w.account.set_running(false);
     if persistence == Persistence::Close || shared.draining.is_set() {
         let close = HeaderValue::from_static("close");
         res.headers.insert(CONNECTION, close);
@@ -152,14 +156,14 @@
     }
 }
 
-async fn send_continue(w: &mut Writer) -> NextStep {
+async fn send_continue(w: &mut Writer<'_>) -> NextStep {
     let written = w
         .write_all(Bytes::from_static(encode::CONTINUE_RESPONSE))
         .await;
     written.map_or(NextStep::Close, |()| NextStep::ReadNext)
 }
 
-async fn send_error(w: &mut Writer, error: RequestError) -> NextStep {
+async fn send_error(w: &mut Writer<'_>, error: RequestError) -> NextStep {
     if let Some(status) = error.status() {
         log::info!("http: rejected a request: {error}");
         let res = Response::text(status, error.to_string()).with_header("connection", "close");
@@ -169,18 +173,21 @@
 }
 
 /// Refuses a request for which there is no memory. The client may still be sending.
-async fn send_refusal(w: &mut Writer, res: Response) {
+async fn send_refusal(w: &mut Writer<'_>, res: Response) {
     let res = res.with_header("connection", "close");
     let _ = write_response(w, res, BodyMode::Full).await;
 }
 
-async fn write_response(w: &mut Writer, res: Response, body_mode: BodyMode) -> io::Result<()> {
+async fn write_response(w: &mut Writer<'_>, res: Response, body_mode: BodyMode) -> io::Result<()> {
     let (head, body): (_, Bytes) = encode::encode_response(res, body_mode);
+    let hold = (!body.is_empty()).then(|| w.account.hold_answer(body.len()));
     w.write_all(head).await?;
-    w.write_all(body).await
+    let written = w.write_all(body).await;
+    drop(hold);
+    written
 }
 
-impl Writer {
+impl Writer<'_> {
     /// Writes all bytes; fails if none can be written for too long.
     async fn write_all(&mut self, mut bytes: Bytes) -> io::Result<()> {
         while !bytes.is_empty() {
@@ -188,7 +195,10 @@
             let written = written.await.map_err(|_| io::ErrorKind::TimedOut)?;
             match written.0? {
                 0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => bytes.advance(n),
+                n => {
+                    bytes.advance(n);
+                    self.account.record_progress();
+                }
             }
         }
         Ok(())
--- a/crates/http-edge/src/tests/budget.rs
+++ b/crates/http-edge/src/tests/budget.rs
@@ -30,6 +30,9 @@
 
 const MAX_BYTES: usize = 4 * 1024 * 1024;
 
+/// Length of an answer, more than the sockets of a connection buffer.
+const LARGE_ANSWER: usize = 16 * 1024 * 1024;
+
 const LIMITS: Limits = Limits {
     max_head_bytes: 16 * 1024,
     max_body_bytes: 3 * 1024 * 1024,
@@ -45,6 +48,9 @@
         if req.path() == "/kept" {
             monoio::time::sleep(Duration::from_millis(300)).await;
         }
+        if req.path() == "/large" {
+            return Response::new(StatusCode::OK, vec![b'x'; LARGE_ANSWER]);
+        }
         let taken = format!("{:?}", self.budget.stats());
         Response::new(StatusCode::OK, taken)
     }
@@ -213,6 +219,38 @@
     });
 }
 
+#[test]
+fn answers_that_nobody_reads_make_room() {
+    with_budget(1000, ServerCfg::default(), |address| {
+        let request = b"GET /large HTTP/1.1\r\n\r\n";
+        let mut streams = Vec::new();
+        for _ in 0..10 {
+            let mut stream = connect(address);
+            stream.write_all(request).unwrap();
+            streams.push(stream);
+            std::thread::sleep(Duration::from_millis(100));
+            assert!(stat_once_served(address, "used_bytes") < LARGE_ANSWER);
+        }
+        // One that is read is whole, though it is larger than the budget.
+        let whole = exchange(address, b"GET /large HTTP/1.1\r\nconnection: close\r\n\r\n");
+        assert!(whole.len() > LARGE_ANSWER);
+        drop(streams);
+        wait_for_release(address);
+    });
+}
+
+/// The same as [`stat`] for a client that repeats a request that was refused.
+fn stat_once_served(address: SocketAddr, name: &str) -> usize {
+    for _ in 0..200 {
+        let text = exchange(address, b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n");
+        if statuses(&text) == [200] {
+            return stat(address, name);
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("nothing is served");
+}
+
 /// As between daemons: the sender reads only after it has sent everything.
 #[test]
 fn a_sender_of_a_large_body_reads_that_it_was_refused() {
