--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -4,3 +4,4 @@
 mod caps;
 mod compression;
 mod isolation;
+mod limits;
