http-edge: connections of daemons outlast a crowd of clients, unread answers go sooner

Cause: at the limit of connections the one that was idle longest ended, also that of another daemon, whose request may be on its way. An answer that nobody reads kept its memory for 50 ms and its connection for 20 ms more, while further answers came. The three metrics of the limits were not in the catalogue, so that the test of the metrics page failed.

Change: connections of servers that keep theirs end after the others, and the server for daemons does. An answer counts as unread after 10 ms, and its connection ends at once. The catalogue has the metrics.

--- a/crates/http-edge/src/budget/account.rs
+++ b/crates/http-edge/src/budget/account.rs
@@ -32,6 +32,8 @@
 
 /// What the budget knows of a connection.
 pub(super) struct AccountState {
+    /// Whether the connection is closed for others only after those without this.
+    is_kept: bool,
     /// Bytes that the incomplete request holds.
     held: Cell<Bytes>,
     /// Bytes of the answer that is being written.
@@ -46,8 +48,9 @@
 }
 
 impl AccountState {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(is_kept: bool, now: Instant) -> Self {
         Self {
+            is_kept,
             held: Cell::default(),
             answer: Cell::default(),
             is_running: Cell::new(false),
@@ -58,6 +61,10 @@
         }
     }
 
+    pub(super) fn is_kept(&self) -> bool {
+        self.is_kept
+    }
+
     pub(super) fn held(&self) -> Bytes {
         self.held.get()
     }
@@ -112,9 +119,9 @@
 
 impl MemoryBudget {
     /// Opens the account of a new connection. At the limit the connection that has been idle or
-    /// stalled longest is evicted; `None` if requests run on all of them.
-    pub(crate) fn open(&self) -> Option<Account> {
-        let (id, state) = self.shared.ledger.borrow_mut().open()?;
+    /// stalled longest is evicted, kept ones after the others; `None` if requests run on all of them.
+    pub(crate) fn open(&self, is_kept: bool) -> Option<Account> {
+        let (id, state) = self.shared.ledger.borrow_mut().open(is_kept)?;
         Some(Account {
             shared: Rc::clone(&self.shared),
             id,
@@ -175,7 +182,7 @@
     /// Returns once the connection has to end at once, and no request runs on it.
     pub(crate) async fn closing(&self) {
         self.state.closing.wait().await;
-        loop {
+        while self.state.answer() == 0 {
             monoio::time::sleep(CLOSE_TIME).await;
             if !self.state.is_running() {
                 return;
--- a/crates/http-edge/src/budget/ledger.rs
+++ b/crates/http-edge/src/budget/ledger.rs
@@ -17,7 +17,7 @@
 const LARGE_EIGHTHS: usize = 7;
 
 /// Time without a byte written after which the client of an answer counts as not reading.
-const UNREAD_TIME: Duration = Duration::from_millis(50);
+const UNREAD_TIME: Duration = Duration::from_millis(10);
 
 /// Connections beyond the limit that may be open for a moment while others close.
 pub(super) const MAX_CLOSING: usize = 32;
@@ -134,18 +134,19 @@
     }
 
     /// Opens an account for a connection; `None` if there are too many and none can be closed.
-    pub(super) fn open(&mut self) -> Option<(u64, Rc<AccountState>)> {
+    pub(super) fn open(&mut self, is_kept: bool) -> Option<(u64, Rc<AccountState>)> {
         if self.accounts.len() >= self.limits.max_connections {
             self.close_oldest()?;
         }
         self.last_id += 1;
-        let state = Rc::new(AccountState::new(Instant::now()));
+        let state = Rc::new(AccountState::new(is_kept, Instant::now()));
         self.accounts.insert(self.last_id, Rc::clone(&state));
         self.used.all += CONNECTION_BYTES;
         Some((self.last_id, state))
     }
 
-    /// Closes the connection that has been idle or stalled longest, one that was evicted before others,
+    /// Closes the connection that has been idle or stalled longest, one that was evicted before and one
+    /// that is kept after the others,
     /// unless enough are closing already; `None` if requests run on all others.
     fn close_oldest(&mut self) -> Option<()> {
         if self.accounts.len() >= self.limits.max_connections + MAX_CLOSING {
@@ -157,7 +158,7 @@
         }
         let oldest = staying()
             .filter(|state| !state.is_running())
-            .min_by_key(|state| (!state.is_evicted(), state.progressed_at()));
+            .min_by_key(|state| (!state.is_evicted(), state.is_kept(), state.progressed_at()));
         let oldest = Rc::clone(oldest?);
         self.evict(&oldest, Eviction::Connections);
         Some(())
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -65,6 +65,8 @@
     pub head_timeout: Duration,
     /// Most open connections of this server; further ones are closed immediately.
     pub max_connections: usize,
+    /// Whether connections are closed for others only after those of servers without this.
+    pub keeps_connections: bool,
     /// How long the input of a refused request is dropped, so that its client can read the refusal.
     pub linger_timeout: Duration,
     /// Most bytes of it that are dropped.
@@ -78,6 +80,7 @@
             idle_timeout: Duration::from_mins(1),
             head_timeout: Duration::from_mins(1),
             max_connections: 4096,
+            keeps_connections: false,
             linger_timeout: Duration::from_millis(250),
             linger_bytes: 256 * 1024,
         }
@@ -212,11 +215,12 @@
 }
 
 fn spawn_connection<H: Handler>(stream: TcpStream, handler: &Rc<H>, shared: &Rc<Shared>) {
-    if shared.open_connections.get() >= shared.cfg.get().max_connections {
+    let cfg = shared.cfg.get();
+    if shared.open_connections.get() >= cfg.max_connections {
         log::warn!("http: connection limit reached, closed a new connection");
         return;
     }
-    let Some(account) = shared.budget.open() else {
+    let Some(account) = shared.budget.open(cfg.keeps_connections) else {
         log::warn!("http: requests run on all connections, closed a new one");
         return;
     };
--- a/crates/http-edge/src/tests/budget.rs
+++ b/crates/http-edge/src/tests/budget.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -251,6 +252,41 @@
     panic!("nothing is served");
 }
 
+#[test]
+fn a_connection_that_is_kept_outlasts_a_crowd_at_the_limit() {
+    let (tx, rx) = mpsc::channel();
+    let start = move || {
+        let budget = MemoryBudget::new(BudgetLimits {
+            max_bytes: MAX_BYTES,
+            max_connections: 8,
+        });
+        let serve = |keeps_connections: bool| {
+            let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            let address = listener.local_addr().unwrap();
+            let handler = Rc::new(Stats {
+                budget: budget.clone(),
+            });
+            let cfg = Rc::new(Cell::new(ServerCfg {
+                keeps_connections,
+                ..ServerCfg::default()
+            }));
+            let server = Server::start_within(budget.clone(), listener, handler, cfg);
+            (server, address)
+        };
+        tx.send(serve(true).1).unwrap();
+        serve(false)
+    };
+    with_started(start, |address| {
+        let mut kept = connect(rx.recv().unwrap());
+        let streams = crowd(address, 30, b"");
+        kept.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        let mut answer = [0; 12];
+        kept.read_exact(&mut answer).unwrap();
+        assert_eq!(answer, *b"HTTP/1.1 200");
+        drop(streams);
+    });
+}
+
 /// As between daemons: the sender reads only after it has sent everything.
 #[test]
 fn a_sender_of_a_large_body_reads_that_it_was_refused() {
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -163,6 +163,27 @@
         &[],
         "Requests sent to the upstream beside this daemon",
     ),
+    metric(
+        "bronzehead_open_connections",
+        MetricKind::Gauge,
+        "connections",
+        &[],
+        "Connections that the servers of this daemon hold",
+    ),
+    metric(
+        "bronzehead_request_memory_bytes",
+        MetricKind::Gauge,
+        "bytes",
+        &[],
+        "Memory that is charged to requests, answers and connections",
+    ),
+    metric(
+        "bronzehead_requests_unread_total",
+        MetricKind::Counter,
+        "requests",
+        &["reason"],
+        "Incomplete requests that gave way to others (`evicted`), that found no room (`no-memory`), and connections that gave way (`no-connection`)",
+    ),
     metric(
         "bronzehead_kept_slots",
         MetricKind::Gauge,
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -33,6 +33,8 @@
     metrics.set_load(3, 1);
     metrics.set_kept_slots(2);
     metrics.record_instance_request();
+    metrics.set_request_memory(1, 1);
+    metrics.record_unread("evicted", 1);
     metrics.record_instance_end();
     metrics.record_quarantined();
     metrics.set_instance_limit(Some(14.2));
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -132,6 +132,8 @@
         },
         idle_timeout: PEER_IDLE_TIMEOUT,
         max_connections: usize::MAX,
+        // A request that is on its way to a connection that closes may count as lost.
+        keeps_connections: true,
         linger_timeout: PEER_LINGER,
         linger_bytes: limits.max_body,
         ..ServerCfg::default()
