http-edge: room is left for answers on their way

Cause: answers are charged when they are written. Those that arrived while others were written came on top of the budget, and each was copied once when it was whole.

Change: answers that nobody reads give way from 3/4 of the memory on, after 5 ms without a byte. A response with a length is read in one piece, so that it is not copied.

--- a/crates/http-edge/src/budget/ledger.rs
+++ b/crates/http-edge/src/budget/ledger.rs
@@ -16,8 +16,12 @@
 /// Part of the memory that requests with large bodies may take, in eighths.
 const LARGE_EIGHTHS: usize = 7;
 
+/// Part of the memory up to which answers that nobody reads are kept, in quarters; further answers are on
+/// their way and not charged yet.
+const UNREAD_QUARTERS: usize = 3;
+
 /// Time without a byte written after which the client of an answer counts as not reading.
-const UNREAD_TIME: Duration = Duration::from_millis(10);
+const UNREAD_TIME: Duration = Duration::from_millis(5);
 
 /// Connections beyond the limit that may be open for a moment while others close.
 pub(super) const MAX_CLOSING: usize = 32;
@@ -197,6 +201,13 @@
     pub(super) fn hold_answer(&mut self, state: &Rc<AccountState>, bytes: usize) {
         self.used.all += bytes;
         state.set_answer(bytes);
+        let max_unread = self.limits.max_bytes / 4 * UNREAD_QUARTERS;
+        while self.used.minus(self.leaving).all > max_unread {
+            let Some(unread) = self.largest_unread() else {
+                break;
+            };
+            self.evict(&unread, Eviction::Memory);
+        }
         while self.used.minus(self.leaving).all > self.limits.max_bytes {
             let largest = self.largest(true);
             let Some(largest) = largest.filter(|other| !Rc::ptr_eq(other, state)) else {
@@ -258,6 +269,15 @@
         largest.map(|(_, state)| Rc::clone(state))
     }
 
+    /// Returns the connection with the largest answer that its client does not read.
+    fn largest_unread(&self) -> Option<Rc<AccountState>> {
+        let now = Instant::now();
+        let unread = self.evictable().filter(|state| {
+            state.answer() > 0 && now.duration_since(state.progressed_at()) >= UNREAD_TIME
+        });
+        unread.max_by_key(|state| state.answer()).map(Rc::clone)
+    }
+
     fn evictable(&self) -> impl Iterator<Item = &Rc<AccountState>> {
         self.accounts.values().filter(|state| !state.is_evicted())
     }
--- a/crates/http-edge/src/incoming.rs
+++ b/crates/http-edge/src/incoming.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Returns the size of the first part of a body with a length. What is not charged is read in one
+    /// piece, as its user needs it.
+    fn first_part_bytes(&self, length: usize) -> usize {
+        self.account.map_or(length, |_| FIRST_PART_BYTES)
+    }
+
     fn record_progress(&self) {
         if let Some(account) = self.account {
             account.record_progress();
@@ -209,7 +215,7 @@
     ) -> Result<Vec<Bytes>, ReadError> {
         let size = Size::of_body(length);
         let mut parts = Vec::new();
-        let mut part_bytes = FIRST_PART_BYTES;
+        let mut part_bytes = terms.first_part_bytes(length);
         let mut missing = length;
         while missing > 0 {
             let bytes = part_bytes.min(missing);
