--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http_edge::CallError;
 use http_edge::Handler;
+use http_edge::RawHead;
 use http_edge::Request;
 use http_edge::Response;
 use mesh::balancer::ReportSource;
@@ -299,7 +300,7 @@
             return Response::new(StatusCode::OK, body);
         }
         if req.path() == DEPARTURES_PATH && req.header(CALL_HEADER).is_none() {
-            return Box::pin(self.node.write_for_peer(&req.body)).await;
+            return Box::pin(self.node.write_for_peer(&req.body.to_bytes())).await;
         }
         if req.path() == TRANSFER_PATH && req.header(CALL_HEADER).is_none() {
             return match self.node.answer_grant(&req).await {
@@ -330,6 +331,11 @@
         };
         self.node.encode_reply(result.outcome, result.res, crash)
     }
+
+    fn refuse(&self, head: Option<&RawHead>) -> Response {
+        let outcome = self.node.refuse_unread_of_peer(head);
+        self.node.encode_reply(outcome, None, None)
+    }
 }
 
 impl Node {
--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -4,4 +4,5 @@
 mod caps;
 mod compression;
 mod isolation;
+mod limits;
 mod origins;
