Unread answers give way by how long they have made no progress

At three quarters of the memory the largest answer without a byte written for 5 ms gave way, also that of a client that reads slowly, while those that nobody reads stayed. Now the one without progress for longest goes first: answers that are ready are delivered where their clients read.

--- a/crates/http-edge/src/budget/ledger.rs
+++ b/crates/http-edge/src/budget/ledger.rs
@@ -203,7 +203,7 @@
         state.set_answer(bytes);
         let max_unread = self.limits.max_bytes / 4 * UNREAD_QUARTERS;
         while self.used.minus(self.leaving).all > max_unread {
-            let Some(unread) = self.largest_unread() else {
+            let Some(unread) = self.longest_unread() else {
                 break;
             };
             self.evict(&unread, Eviction::Memory);
@@ -269,13 +269,16 @@
         largest.map(|(_, state)| Rc::clone(state))
     }
 
-    /// Returns the connection with the largest answer that its client does not read.
-    fn largest_unread(&self) -> Option<Rc<AccountState>> {
+    /// Returns the connection whose client has read nothing of its answer for longest: one that reads slowly goes
+    /// after those that do not read.
+    fn longest_unread(&self) -> Option<Rc<AccountState>> {
         let now = Instant::now();
         let unread = self.evictable().filter(|state| {
             state.answer() > 0 && now.duration_since(state.progressed_at()) >= UNREAD_TIME
         });
-        unread.max_by_key(|state| state.answer()).map(Rc::clone)
+        unread
+            .min_by_key(|state| state.progressed_at())
+            .map(Rc::clone)
     }
 
     fn evictable(&self) -> impl Iterator<Item = &Rc<AccountState>> {
