--- a/crates/daemon/src/calls/upstream.rs
+++ b/crates/daemon/src/calls/upstream.rs
@@ -272,6 +272,12 @@
                 if res.header(NOT_RUN_HEADER).is_some() {
                     // Answers carry no id, so a copy of the refusal would count for the next call.
                     conn.close();
+                    if res.status.is_success() {
+                        log::warn!(
+                            "calls: the upstream answered and stated that it did not run the call"
+                        );
+                        return ForwardResult::ConnectionLost;
+                    }
                     return ForwardResult::NotRun(NotRunReason::UpstreamRefused);
                 }
                 self.pool.put(conn);
