Log and count requests whose client leaves

Cause: nothing told whether a request was given up since its client had left: a request that ran on for a client that was gone, one that was cancelled and one that a link swallowed left the same logs.

Change: the line client-left at the daemon that took the request, with the outcome client-left of bronzehead_calls_total, and run-abandoned at the daemon that closed the connection to the instance. The history of service-level burn does not count such calls, which are neither good nor bad.

--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -46,10 +46,15 @@
     /// Records the final answer of a call and the time from its arrival to that answer.
     pub fn record_call(&self, service: &ServiceName, outcome: CallOutcome, took: Duration) {
         let result = match outcome {
-            CallOutcome::Answered => CallResult::Good,
-            CallOutcome::Failed | CallOutcome::NotRun | CallOutcome::Unknown => CallResult::Bad,
+            CallOutcome::Answered => Some(CallResult::Good),
+            CallOutcome::Failed | CallOutcome::NotRun | CallOutcome::Unknown => {
+                Some(CallResult::Bad)
+            }
+            CallOutcome::ClientLeft => None,
         };
-        self.history.borrow_mut().record(service, result, now());
+        if let Some(result) = result {
+            self.history.borrow_mut().record(service, result, now());
+        }
         self.with_metrics(|metrics| metrics.record_call(service, outcome, took));
     }
 
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -62,6 +62,8 @@
     NotRun,
     /// The call may or may not have run.
     Unknown,
+    /// The client left before the final answer.
+    ClientLeft,
 }
 
 impl CallOutcome {
@@ -71,6 +73,7 @@
             Self::Failed => "failed",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
+            Self::ClientLeft => "client-left",
         }
     }
 }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -197,7 +197,9 @@
         }
         requests::prepare_for_instance(&mut req, &head.instance, left);
         self.metrics.record_instance_request();
+        let watch = self.watch_run(head);
         let answered = conn.call(req, left + ANSWER_GRACE).await;
+        watch.close();
         let took = began.elapsed();
         let dispatched = match answered {
             Ok(res) => self.conclude(head, res, conn, slot, began),
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -143,7 +143,7 @@
         let client_left = head.time_left.unwrap_or(DEFAULT_TIMEOUT);
         let left = client_left.min(route.timeout);
         let left = left.saturating_sub(self.stood_still());
-        let mut state = RequestState {
+        let state = RequestState {
             id: head.id,
             fingerprint: sender.fingerprint,
             customer: sender.customer,
@@ -171,9 +171,23 @@
             self.record_blocked(&state.id, state.fingerprint);
             return self.return_refusal(&state, &refuse_blocked());
         }
+        let watch = self.watch_client(&state);
+        let res = self.serve_routed(state, req, left).await;
+        watch.close();
+        res
+    }
+
+    /// Answers a request whose route is known, within the time `left`.
+    async fn serve_routed(
+        &self,
+        mut state: RequestState,
+        mut req: Request,
+        left: Duration,
+    ) -> Response {
         if let Some(refusal) = self.take_token(&mut state).await {
             return refusal;
         }
+        let began = state.began;
         requests::prepare_to_forward(&mut req, &self.own_service());
         self.add_to_budget(&mut state);
         let (id, service, route) = (
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Entry point: [`run`], which starts all tasks and stops them in order.
 
+mod abandoned;
 mod announce;
 mod answers;
 mod attempt;
