A request ends when its client disconnects, whatever was sent behind it

Cause: the handler was cancelled when the channel from the reader of a connection to its writer ended empty. Anything that the reader passed on while a request was handled ended the watch: the error that a reset leads to, a pipelined request, a refused one, a timeout. While two requests waited nothing was read. It is not the link between daemons, nor the instance: the line client-left was missing at the daemon that the clients were connected to.

Change: the end of a connection is a state of its own, which the reader sets and the handler is cancelled for. The reader reads on while it waits to pass something on and after its last message. Pipelined requests of a client that has gone are not handled. The idle timeout does not count while a request is handled; it used to close the connection after the answer.

--- a/crates/http-edge/src/budget/account.rs
+++ b/crates/http-edge/src/budget/account.rs
@@ -173,6 +173,11 @@
         self.record_progress();
     }
 
+    /// Whether a request is being handled.
+    pub(crate) fn is_running(&self) -> bool {
+        self.state.is_running()
+    }
+
     /// Returns why the connection has to give way, once it has to.
     pub(crate) async fn evicted(&self) -> Eviction {
         self.state.evicted.wait().await;
--- a/crates/http-edge/src/error.rs
+++ b/crates/http-edge/src/error.rs
@@ -16,8 +16,6 @@
     Idle,
     /// The request makes no progress.
     Stalled,
-    /// The connection ended within a request.
-    Cut,
 }
 
 impl RequestError {
@@ -29,7 +27,7 @@
             Self::TooLarge => Some(http::StatusCode::PAYLOAD_TOO_LARGE),
             Self::Expectation => Some(http::StatusCode::EXPECTATION_FAILED),
             Self::Stalled => Some(http::StatusCode::REQUEST_TIMEOUT),
-            Self::Idle | Self::Cut => None,
+            Self::Idle => None,
         }
     }
 }
@@ -42,7 +40,6 @@
             Self::Expectation => "unknown expectation",
             Self::Idle => "connection idle for too long",
             Self::Stalled => "request without progress for too long",
-            Self::Cut => "connection cut within a request",
         })
     }
 }
--- a/crates/http-edge/src/incoming.rs
+++ b/crates/http-edge/src/incoming.rs
@@ -1,5 +1,6 @@
 //! Reads the heads and bodies of messages from a connection.
 
+use std::future;
 use std::io;
 use std::mem;
 use std::time::Duration;
@@ -29,6 +30,15 @@
 /// Size of the buffer for input that is dropped.
 const DROP_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Why input is not read any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum InputEnd {
+    /// The connection ended or failed.
+    Disconnected,
+    /// Too much has come.
+    Limit,
+}
+
 /// Why no message was read.
 #[derive(Debug)]
 pub(crate) enum ReadError {
@@ -312,8 +322,29 @@
         Ok((n, buf.into_inner()))
     }
 
+    /// Number of bytes that were read and belong to no message yet.
+    pub(crate) fn waiting_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Reads bytes of later messages until `max_bytes` wait, and returns when the connection has ended or
+    /// failed. No byte is lost if the future is dropped.
+    pub(crate) async fn read_ahead(&mut self, max_bytes: usize) {
+        loop {
+            let free = max_bytes.saturating_sub(self.buf.len());
+            if free == 0 {
+                return future::pending().await;
+            }
+            let (n, bytes) = self.io.read(Vec::with_capacity(free)).await;
+            match n {
+                Ok(n) if n > 0 => self.buf.extend(bytes),
+                _ => return,
+            }
+        }
+    }
+
     /// Drops input, until the connection ends or `max_bytes` have come.
-    pub(crate) async fn drop_input(&mut self, max_bytes: usize) {
+    pub(crate) async fn drop_input(&mut self, max_bytes: usize) -> InputEnd {
         self.buf = Vec::new();
         let mut dropped = 0;
         let mut buf = Vec::with_capacity(DROP_BUFFER_BYTES);
@@ -322,8 +353,9 @@
             buf = returned;
             match n {
                 Ok(n) if n > 0 => dropped += n,
-                _ => return,
+                _ => return InputEnd::Disconnected,
             }
         }
+        InputEnd::Limit
     }
 }
--- a/crates/http-edge/src/server.rs
+++ b/crates/http-edge/src/server.rs
@@ -40,8 +40,10 @@
 /// How often [`Server::close`] checks whether all requests and connections have ended.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Handles requests. The future is dropped if the client disconnects before the response; a client
-/// that only closes its sending side counts as disconnected.
+/// Handles requests. The future is dropped if the client disconnects before the response, whatever it has
+/// sent after the request; a client that only closes its sending side counts as disconnected, since its end
+/// looks the same as that of one that has closed its connection. Pipelined requests of a client that has
+/// disconnected are not handled.
 pub trait Handler: 'static {
     /// Returns the response to one request.
     fn handle(&self, req: Request) -> impl Future<Output = Response>;
@@ -230,6 +232,7 @@
     let conn = ConnState {
         account,
         has_begun: Cell::new(false),
+        gone: Latch::default(),
     };
     monoio::spawn(async move {
         serve_connection(stream, &handler, &conn, &shared).await;
--- a/crates/http-edge/src/server/channel.rs
+++ b/crates/http-edge/src/server/channel.rs
@@ -44,17 +44,26 @@
 impl<T> Sender<T> {
     /// Sends a value once the previous one has been received.
     pub(super) async fn send(&self, value: T) {
-        let mut value = Some(value);
+        self.vacant().await;
+        self.put(value);
+    }
+
+    /// Returns once the previous value has been received.
+    pub(super) async fn vacant(&self) {
         poll_fn(|cx| {
             if self.slot.value.borrow().is_some() {
                 return self.slot.register_waker(cx);
             }
-            self.slot.value.replace(value.take());
-            self.slot.wake_all();
             Poll::Ready(())
         })
         .await;
     }
+
+    /// Sends a value in place of one that was not received.
+    pub(super) fn put(&self, value: T) {
+        self.slot.value.replace(Some(value));
+        self.slot.wake_all();
+    }
 }
 
 impl<T> Drop for Sender<T> {
--- a/crates/http-edge/src/server/reader.rs
+++ b/crates/http-edge/src/server/reader.rs
@@ -20,10 +20,12 @@
 use crate::framing::Framing;
 use crate::head::MalformedHead;
 use crate::head::RawHead;
+use crate::incoming::InputEnd;
 use crate::incoming::MessageReader;
 use crate::incoming::Pace;
 use crate::incoming::ReadError;
 use crate::incoming::Terms;
+use crate::latch::Latch;
 use crate::message::Request;
 use crate::server::ServerCfg;
 use crate::server::Shared;
@@ -54,6 +56,8 @@
 
 /// Why no request was read.
 enum Failure {
+    /// The client has disconnected.
+    Gone,
     Request(RequestError),
     /// There is no memory for it.
     NoRoom,
@@ -74,7 +78,7 @@
 impl From<ReadError> for Failure {
     fn from(e: ReadError) -> Self {
         match e {
-            ReadError::Cut(_) => RequestError::Cut.into(),
+            ReadError::Cut(_) => Self::Gone,
             ReadError::Malformed => RequestError::Malformed.into(),
             ReadError::TooLarge => RequestError::TooLarge.into(),
             ReadError::Idle => RequestError::Idle.into(),
@@ -89,9 +93,16 @@
     pub(super) account: Account,
     /// Whether bytes of the next request have been read.
     pub(super) has_begun: Cell<bool>,
+    /// Set once the client has disconnected.
+    pub(super) gone: Latch,
 }
 
-/// Reads requests until the connection ends or a request is invalid.
+/// Most bytes that are read ahead while two requests wait to be handled, to see the end of the connection
+/// behind them. The memory charged for a connection includes them.
+const READ_AHEAD_BYTES: usize = 2 * 1024;
+
+/// Reads requests until the connection ends or a request is invalid, and sees the client disconnect at any
+/// time until then.
 pub(super) async fn read_requests(
     r: OwnedReadHalf<TcpStream>,
     tx: Sender<Incoming>,
@@ -110,14 +121,18 @@
             read = reader.read_request() => read,
             eviction = conn.account.evicted() => return reader.give_way(eviction).await,
         };
-        match read {
-            Ok(Some(incoming)) => reader.tx.send(incoming).await,
-            Ok(None) => return,
+        let passed = match read {
+            Ok(Some(incoming)) => reader.pass_on(incoming).await,
+            Ok(None) => Err(Failure::Gone),
+            Err(failure) => Err(failure),
+        };
+        match passed {
+            Ok(()) => {}
+            Err(Failure::Gone) => return conn.gone.set(),
             Err(Failure::NoRoom) => return reader.refuse().await,
-            Err(Failure::Request(e)) => {
-                conn.account.release();
-                return reader.tx.send(Incoming::Error(e)).await;
-            }
+            // Nobody has to send anything while a request is being handled.
+            Err(Failure::Request(RequestError::Idle)) if conn.account.is_running() => {}
+            Err(Failure::Request(e)) => return reader.finish(Incoming::Error(e)).await,
         }
     }
 }
@@ -187,29 +202,41 @@
 
     /// Has the writer send `100 Continue` if the client waits for it.
     async fn send_continue_if_expected(
-        &self,
+        &mut self,
         version: Version,
         headers: &HeaderMap,
         framing: Framing,
-    ) -> Result<(), RequestError> {
+    ) -> Result<(), Failure> {
         let Some(expected) = headers.get(EXPECT) else {
             return Ok(());
         };
         if !expected.as_bytes().eq_ignore_ascii_case(b"100-continue") {
-            return Err(RequestError::Expectation);
+            return Err(RequestError::Expectation.into());
         }
         // HTTP/1.0 has no interim responses.
         let is_waiting = version != Version::HTTP_10 && framing != Framing::Empty;
         if is_waiting {
-            self.tx.send(Incoming::ExpectContinue).await;
+            self.pass_on(Incoming::ExpectContinue).await?;
         }
         Ok(())
     }
 
+    /// Passes a message to the writer once that takes it. The client may disconnect meanwhile.
+    async fn pass_on(&mut self, incoming: Incoming) -> Result<(), Failure> {
+        let max_bytes = self.input.waiting_bytes() + READ_AHEAD_BYTES;
+        monoio::select! {
+            () = self.tx.vacant() => {}
+            () = self.input.read_ahead(max_bytes) => return Err(Failure::Gone),
+        }
+        self.tx.put(incoming);
+        Ok(())
+    }
+
     /// Ends the connection since others need what it takes.
     async fn give_way(self, eviction: Eviction) {
         match (self.conn.has_begun.get(), eviction) {
             (true, Eviction::Memory) => return self.refuse().await,
+            // Only a connection on which no request is handled makes room for others.
             (true, Eviction::Connections) => {
                 self.conn.account.release();
                 return self.tx.send(Incoming::Refused(self.head)).await;
@@ -217,17 +244,33 @@
             (false, _) => {}
         }
         log::debug!("http: closed a connection for others: {eviction:?}");
-        self.tx.send(Incoming::Close).await;
+        self.finish(Incoming::Close).await;
     }
 
-    /// Has the writer refuse the request that has begun, and drops what follows, so that the client
-    /// can read the refusal.
+    /// Has the writer refuse the request that has begun.
     async fn refuse(mut self) {
         let head = self.head.take();
-        let cfg = self.shared.cfg.get();
-        self.conn.account.release();
-        self.tx.send(Incoming::Refused(head)).await;
-        self.input.drop_input(cfg.linger_bytes).await;
+        self.finish(Incoming::Refused(head)).await;
+    }
+
+    /// Passes the last message to the writer and drops what follows: the client can read an answer only if
+    /// its input is taken, and it may disconnect.
+    async fn finish(self, last: Incoming) {
+        let Self {
+            mut input,
+            conn,
+            shared,
+            tx,
+            ..
+        } = self;
+        conn.account.release();
+        let max_bytes = shared.cfg.get().linger_bytes;
+        let watch = async {
+            if input.drop_input(max_bytes).await == InputEnd::Disconnected {
+                conn.gone.set();
+            }
+        };
+        monoio::join!(tx.send(last), watch);
     }
 }
 
--- a/crates/http-edge/src/server/writer.rs
+++ b/crates/http-edge/src/server/writer.rs
@@ -17,6 +17,7 @@
 use crate::encode;
 use crate::encode::BodyMode;
 use crate::error::RequestError;
+use crate::latch::Latch;
 use crate::message::Request;
 use crate::message::Response;
 use crate::server::CountGuard;
@@ -51,18 +52,12 @@
         account: &conn.account,
         idle_timeout,
     };
-    let mut pipelined = None;
-    loop {
-        let incoming = if pipelined.is_some() {
-            pipelined.take()
-        } else {
-            next_request(&mut rx, conn, shared).await
-        };
-        let Some(incoming) = incoming else { return };
+    while let Some(incoming) = next_request(&mut rx, conn, shared).await {
         let guard = CountGuard::new(shared, |shared| &shared.active_requests);
         let next = match incoming {
+            Incoming::Request(..) if conn.gone.is_set() => NextStep::Close,
             Incoming::Request(req, persistence) => {
-                handle_request(&mut w, &mut rx, handler, shared, (req, persistence)).await
+                handle_request(&mut w, &conn.gone, handler, shared, (req, persistence)).await
             }
             Incoming::ExpectContinue => send_continue(&mut w).await,
             Incoming::Error(error) => send_error(&mut w, error).await,
@@ -78,7 +73,6 @@
         match next {
             NextStep::Close => return,
             NextStep::ReadNext => {}
-            NextStep::HandleNext(incoming) => pipelined = Some(incoming),
         }
     }
 }
@@ -108,33 +102,22 @@
 enum NextStep {
     Close,
     ReadNext,
-    /// Handle a pipelined request that was read during the previous one.
-    HandleNext(Incoming),
 }
 
 async fn handle_request<H: Handler>(
     w: &mut Writer<'_>,
-    rx: &mut Receiver<Incoming>,
+    gone: &Latch,
     handler: &Rc<H>,
     shared: &Shared,
     (req, persistence): (Request, Persistence),
 ) -> NextStep {
     let body_mode = body_mode(&req);
     w.account.set_running(true);
-    let mut reply = std::pin::pin!(handler.handle(req));
     let mut next = NextStep::ReadNext;
-    let first = monoio::select! {
-        res = &mut reply => Ok(res),
-        incoming = rx.recv() => Err(incoming),
-    };
-    let mut res = match first {
-        Ok(res) => res,
-        // The client has disconnected; dropping the future cancels the handler.
-        Err(None) => return NextStep::Close,
-        Err(Some(incoming)) => {
-            next = NextStep::HandleNext(incoming);
-            reply.await
-        }
+    let mut res = monoio::select! {
+        res = handler.handle(req) => res,
+        // Dropping the handler's future cancels it.
+        () = gone.wait() => return NextStep::Close,
     };
     w.account.set_running(false);
     if persistence == Persistence::Close || shared.draining.is_set() {
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod chunks;
+mod disconnects;
 mod endless;
 mod fuzz;
 mod heads;
--- a/crates/sidecar/tests/end_to_end/fleet.rs
+++ b/crates/sidecar/tests/end_to_end/fleet.rs
@@ -58,6 +58,8 @@
     pub probes: Cell<u32>,
     /// Time that each response takes.
     pub service_time: Cell<Duration>,
+    /// Requests whose connection was closed before their response.
+    pub abandoned: Cell<u32>,
 }
 
 impl Instance {
@@ -73,6 +75,7 @@
             cold_until: Cell::default(),
             probes: Cell::default(),
             service_time: Cell::default(),
+            abandoned: Cell::default(),
         }
     }
 
@@ -95,6 +98,20 @@
     }
 }
 
+/// Counts a run that is dropped before its end.
+struct Run<'a> {
+    abandoned: &'a Cell<u32>,
+    is_done: Cell<bool>,
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        if !self.is_done.get() {
+            self.abandoned.set(self.abandoned.get() + 1);
+        }
+    }
+}
+
 impl Handler for Instance {
     async fn handle(&self, req: Request) -> Response {
         if req.path() == HEALTH_PATH {
@@ -103,7 +120,12 @@
         let id = req.header("x-request-id").unwrap_or_default().to_owned();
         self.received.borrow_mut().push(req);
         self.arrivals.borrow_mut().push(Instant::now());
+        let run = Run {
+            abandoned: &self.abandoned,
+            is_done: Cell::new(false),
+        };
         monoio::time::sleep(self.service_time.get()).await;
+        run.is_done.set(true);
         let mut res =
             Response::text(StatusCode::OK, self.name.clone()).with_header("x-request-id", id);
         if let Some(limit) = *self.limit.borrow() {
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod faulty_instances;
 mod fleet;
+mod leaving_clients;
 mod lost_connections;
 mod notices;
 mod odd_input;
