A move is from the version in use, and versions that were withdrawn get nothing

Cause: a daemon knew of a service the latest order only, and chose among all versions but its target. That v2 was rolled back, and which version was in use, was held nowhere: not by the daemons, nor in the store, nor in the messages. The evidence took the failures of v2 for those of the version in use.

Evidence: the log of the later move names v3 alone; a test with four daemons and no other trouble repeats it.

Change: MoveRecord::origin, the version in use and the withdrawn ones, is handed from each order to the next, stored, sent and merged with the record. The store decides on it, since the controller's writes are conditional. Evidence of withdrawn versions is discarded. The lines on moves show both.

Measured: moves::a_version_that_was_rolled_back_gets_nothing_when_the_next_is_ordered failed before (177 requests after the rollback), and passes.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -138,6 +138,16 @@
         }
     }
 
+    /// Discards the evidence of versions of a service that are not to be compared with: their instances get no
+    /// requests any more.
+    pub fn discard_versions(&mut self, service: &ServiceName, versions: &[VersionName]) {
+        if !versions.is_empty() {
+            self.instances.retain(|(key_service, version, ..), _| {
+                key_service != service || !versions.contains(version)
+            });
+        }
+    }
+
     /// Judges the target of a move, which has `instances` instances, against the other versions of
     /// its service. The verdict is not good while less than half of the instances report: a daemon
     /// that is partitioned from the others must not increase the target's share.
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -100,6 +100,7 @@
         let MoveOrder {
             service, target, ..
         } = &record.order;
+        canary.discard_versions(service, &record.origin.withdrawn);
         let entered = self.enter_stage(record, canary, now);
         let at_stage = now.saturating_duration_since(entered);
         let mut verdict = canary.verdict(service, target, instances, now);
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -5,6 +5,7 @@
 //! share grows in steps while the verdict of [`crate::canary`] is good. A bad verdict rolls the
 //! move back for good.
 
+use std::mem;
 use std::time::Duration;
 
 use base::FastMap;
@@ -34,6 +35,43 @@
     pub offset: Offset,
 }
 
+/// What serves a service beside the target of a move, and after the move was rolled back.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Version in use when the order came; `None` while unknown.
+    pub version: Option<VersionName>,
+    /// Targets of earlier orders that did not come into use, the latest last. They get no requests.
+    pub withdrawn: Vec<VersionName>,
+}
+
+/// Most versions in [`Origin::withdrawn`]; the instances of earlier ones have long left.
+const MAX_WITHDRAWN: usize = 4;
+
+impl Origin {
+    fn is_unknown(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Adds what another daemon, or an earlier record, knows.
+    fn fill_from(&mut self, other: &Self) {
+        if self.version.is_none() {
+            self.version.clone_from(&other.version);
+        }
+        let missing = |version: &&VersionName| !self.withdrawn.contains(version);
+        let mut withdrawn: Vec<VersionName> =
+            other.withdrawn.iter().filter(missing).cloned().collect();
+        withdrawn.append(&mut self.withdrawn);
+        let excess = withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+        self.withdrawn = withdrawn.split_off(excess);
+    }
+
+    /// Whether a version other than that in use may take its place if it has no instance left.
+    #[must_use]
+    pub fn may_replace(&self, version: &VersionName, target: &VersionName) -> bool {
+        version != target && !self.withdrawn.contains(version)
+    }
+}
+
 /// Progress of a move.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MoveRecord {
@@ -53,9 +91,35 @@
     /// Time since the order, as the daemon that sent or stored the record had counted it.
     #[serde(default, deserialize_with = "base::units::deserialize_capped")]
     pub elapsed: Duration,
+    /// What the requests move from.
+    #[serde(default, skip_serializing_if = "Origin::is_unknown")]
+    pub origin: Origin,
 }
 
 impl MoveRecord {
+    /// Returns what a later order to move the service to `target` moves from.
+    #[must_use]
+    pub fn origin_after(&self, target: &VersionName) -> Origin {
+        let mut origin = if self.stage == Stage::Complete {
+            Origin {
+                version: Some(self.order.target.clone()),
+                withdrawn: Vec::new(),
+            }
+        } else {
+            let mut origin = self.origin.clone();
+            let ended = &self.order.target;
+            if origin.version.as_ref() != Some(ended) {
+                origin.withdrawn.retain(|version| version != ended);
+                origin.withdrawn.push(ended.clone());
+                let excess = origin.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+                origin.withdrawn.drain(..excess);
+            }
+            origin
+        };
+        origin.withdrawn.retain(|version| version != target);
+        origin
+    }
+
     /// Returns the precedence by which records of one service replace each other: the later order,
     /// then a final stage that the store holds, then any final stage, then more setbacks, then the
     /// larger share.
@@ -111,10 +175,26 @@
     }
     SettleAction::Write(MoveRecord {
         is_settled: !decided.is_open(),
+        origin: settle_origin(decided, stored),
         ..decided.clone()
     })
 }
 
+/// Returns the origin of a move that is written over the record in the store. All orders of a service come by
+/// there one after the other, so what the store says of the version in use goes before what a daemon knows.
+fn settle_origin(decided: &MoveRecord, stored: Option<&MoveRecord>) -> Origin {
+    let Some(stored) = stored else {
+        return decided.origin.clone();
+    };
+    let mut origin = if stored.order.offset == decided.order.offset {
+        stored.origin.clone()
+    } else {
+        stored.origin_after(&decided.order.target)
+    };
+    origin.fill_from(&decided.origin);
+    origin
+}
+
 /// Stage of a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
@@ -233,16 +313,25 @@
 }
 
 impl Moves {
-    /// Merges a record by [`MoveRecord::precedence`]. Returns whether it is newer than the known
-    /// one.
-    pub fn merge(&mut self, record: MoveRecord) -> bool {
-        if let Some(known) = self.records.get(&record.order.service)
-            && known.precedence() >= record.precedence()
-        {
-            return false;
+    /// Merges a record by [`MoveRecord::precedence`]. Returns whether it is newer than the known one. Of the
+    /// other one, only what it tells of the origin of the move is kept.
+    pub fn merge(&mut self, mut record: MoveRecord) -> bool {
+        let Some(known) = self.records.get_mut(&record.order.service) else {
+            self.records.insert(record.order.service.clone(), record);
+            return true;
+        };
+        let is_newer = record.precedence() > known.precedence();
+        if is_newer {
+            mem::swap(known, &mut record);
         }
-        self.records.insert(record.order.service.clone(), record);
-        true
+        let (latest, other) = (known, record);
+        let origin = if other.order.offset == latest.order.offset {
+            other.origin
+        } else {
+            other.origin_after(&latest.order.target)
+        };
+        latest.origin.fill_from(&origin);
+        is_newer
     }
 
     /// Records that the offsets of the operator's topic went back.
@@ -295,14 +384,13 @@
         let Some(record) = self.records.get(service) else {
             return VersionFilter::Oldest;
         };
-        let target = &record.order.target;
         match record.stage {
-            Stage::Complete => VersionFilter::Only(target),
+            Stage::Complete => VersionFilter::Only(&record.order.target),
             Stage::Sharing(share) if random % 1000 < u64::from(record.share_of(route, share)) => {
-                VersionFilter::Prefer(target)
+                VersionFilter::Target(record)
             }
-            Stage::Sharing(base::FULL_SHARE..) => VersionFilter::Prefer(target),
-            Stage::Sharing(_) | Stage::RolledBack => VersionFilter::Except(target),
+            Stage::Sharing(base::FULL_SHARE..) => VersionFilter::Target(record),
+            Stage::Sharing(_) | Stage::RolledBack => VersionFilter::Origin(record),
         }
     }
 }
@@ -314,8 +402,8 @@
     Oldest,
     /// This version only.
     Only(&'a VersionName),
-    /// This version, or another one if it has no instance.
-    Prefer(&'a VersionName),
-    /// All versions except this one.
-    Except(&'a VersionName),
+    /// The target of this move, or what it moves from if the target has no instance.
+    Target(&'a MoveRecord),
+    /// What this move moves from.
+    Origin(&'a MoveRecord),
 }
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -20,6 +20,7 @@
 mod instance;
 mod knowledge;
 mod latency;
+mod move_origin;
 mod move_proof;
 mod move_steps;
 mod moves;
--- a/crates/mesh/src/tests/moves.rs
+++ b/crates/mesh/src/tests/moves.rs
@@ -6,6 +6,7 @@
 use crate::moves::MoveOrder;
 use crate::moves::MoveRecord;
 use crate::moves::Moves;
+use crate::moves::Origin;
 use crate::moves::SettleAction;
 use crate::moves::Stage;
 use crate::moves::VersionFilter;
@@ -30,6 +31,7 @@
         is_settled: false,
         boosted: Vec::new(),
         elapsed: Duration::ZERO,
+        origin: Origin::default(),
     }
 }
 
@@ -170,35 +172,38 @@
         VersionFilter::Oldest
     );
     let target = "v2".into();
-    assert!(moves.merge(record(1, Stage::Sharing(60))));
+    let sharing = record(1, Stage::Sharing(60));
+    assert!(moves.merge(sharing.clone()));
     assert_eq!(
         moves.version_filter("catalogue", &"browse".into(), 59),
-        VersionFilter::Prefer(&target)
+        VersionFilter::Target(&sharing)
     );
     assert_eq!(
         moves.version_filter("catalogue", &"browse".into(), 60),
-        VersionFilter::Except(&target)
+        VersionFilter::Origin(&sharing)
     );
-    assert!(moves.merge(record(1, Stage::RolledBack)));
+    let rolled_back = record(1, Stage::RolledBack);
+    assert!(moves.merge(rolled_back.clone()));
     assert_eq!(
         moves.version_filter("catalogue", &"browse".into(), 0),
-        VersionFilter::Except(&target)
+        VersionFilter::Origin(&rolled_back)
     );
     let boosted = MoveRecord {
         boosted: vec!["rare".into()],
         ..record(1, Stage::Sharing(80))
     };
     let mut with_boost = Moves::default();
-    assert!(with_boost.merge(boosted));
+    assert!(with_boost.merge(boosted.clone()));
     let on_route = |route: &str| with_boost.version_filter("catalogue", &route.into(), 399);
-    assert_eq!(on_route("rare"), VersionFilter::Prefer(&target));
-    assert_eq!(on_route("browse"), VersionFilter::Except(&target));
+    assert_eq!(on_route("rare"), VersionFilter::Target(&boosted));
+    assert_eq!(on_route("browse"), VersionFilter::Origin(&boosted));
     // Records of lower precedence are ignored; a later order is not.
     assert!(!moves.merge(record(1, Stage::Sharing(1000))));
-    assert!(moves.merge(record(2, Stage::Sharing(0))));
+    let begun = record(2, Stage::Sharing(0));
+    assert!(moves.merge(begun.clone()));
     assert_eq!(
         moves.version_filter("catalogue", &"browse".into(), 0),
-        VersionFilter::Except(&target)
+        VersionFilter::Origin(&begun)
     );
     assert!(moves.merge(record(2, Stage::Complete)));
     assert_eq!(
@@ -272,11 +277,11 @@
         Duration::from_secs(8),
         Verdict::Inconclusive,
     );
-    assert!(moves.merge(reduced));
+    assert!(moves.merge(reduced.clone()));
     assert!(!moves.merge(record(1, Stage::Sharing(1000))));
     assert_eq!(
         moves.version_filter("catalogue", &"browse".into(), 100),
-        VersionFilter::Except(&"v2".into())
+        VersionFilter::Origin(&reduced)
     );
     // A final stage replaces any share.
     assert!(moves.merge(record(1, Stage::RolledBack)));
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -11,10 +11,12 @@
 use base::VersionName;
 use base::units::unix_millis;
 use mesh::canary::Verdict;
+use mesh::directory::Entry;
 use mesh::evidence::RouteStats;
 use mesh::moves::MoveOrder;
 use mesh::moves::MovePrecedence;
 use mesh::moves::MoveRecord;
+use mesh::moves::Origin;
 use mesh::moves::SettleAction;
 use mesh::moves::Stage;
 use mesh::moves::settle;
@@ -30,6 +32,7 @@
 
 use crate::node::Node;
 use crate::node::SharedNode;
+use crate::versions::replacing_version;
 
 /// Interval at which the controller evaluates the evidence: the interval at which it receives
 /// evidence.
@@ -79,7 +82,7 @@
         node.merge_own_evidence();
         for record in records {
             let decided = if record.is_open() {
-                node.decide(&record)
+                node.decide(&node.with_known_origin(record))
             } else {
                 record
             };
@@ -105,6 +108,7 @@
             is_settled: false,
             boosted: Vec::new(),
             elapsed: Duration::ZERO,
+            origin: Origin::default(),
         };
         self.merge_move(record, MoveSource::Operator);
     }
@@ -129,6 +133,8 @@
                     "target": record.map(|record| &record.order.target),
                     "order": record.map(|record| record.order.offset),
                     "stage": record.map(|record| format!("{:?}", record.stage)),
+                    "origin": record.map(|record| &record.origin.version),
+                    "withdrawn": record.map(|record| &record.origin.withdrawn),
                     "source": source.name(),
                 })
             });
@@ -177,6 +183,16 @@
         }
     }
 
+    /// Adds the version in use to the first order of a service, which no earlier record tells.
+    fn with_known_origin(&self, mut record: MoveRecord) -> MoveRecord {
+        if record.origin.version.is_none() {
+            let directory = self.directory.borrow();
+            let serving: Vec<&Entry> = directory.serving(&record.order.service).collect();
+            record.origin.version = replacing_version(&serving, &record).cloned();
+        }
+        record
+    }
+
     fn decide(&self, record: &MoveRecord) -> MoveRecord {
         let order = &record.order;
         let now = Instant::now();
@@ -198,6 +214,8 @@
                 json!({
                     "service": order.service,
                     "target": order.target,
+                    "origin": record.origin.version,
+                    "withdrawn": record.origin.withdrawn,
                     "before": format!("{:?}", record.stage),
                     "stage": format!("{:?}", decision.record.stage),
                     "verdict": verdict_name(verdict),
--- a/crates/sidecar/tests/end_to_end/fleet.rs
+++ b/crates/sidecar/tests/end_to_end/fleet.rs
@@ -39,10 +39,12 @@
     Answers,
     Rejects,
     MismatchesIds,
+    Fails,
 }
 
 pub struct Instance {
     pub name: String,
+    pub version: &'static str,
     pub answer_mode: Cell<AnswerMode>,
     pub received: RefCell<Vec<Request>>,
     pub arrivals: RefCell<Vec<Instant>>,
@@ -63,9 +65,10 @@
 }
 
 impl Instance {
-    fn new(number: u8) -> Self {
+    fn new(number: u8, version: &'static str) -> Self {
         Self {
             name: format!("i-{number}"),
+            version,
             answer_mode: Cell::new(AnswerMode::Answers),
             received: RefCell::default(),
             arrivals: RefCell::default(),
@@ -146,6 +149,10 @@
             // The response carries another request's id, as after mixed-up bytes on a connection.
             // The daemon discards it, so the answer is lost.
             AnswerMode::MismatchesIds => res.with_header("x-request-id", "other"),
+            AnswerMode::Fails => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                Response { status, ..res }.with_header("x-response-stamp", &self.name)
+            }
         }
     }
 }
@@ -174,8 +181,12 @@
 }
 
 pub async fn machine(boot: BootConfig, number: u8) -> Machine {
+    machine_of_version(boot, number, "v1").await
+}
+
+pub async fn machine_of_version(boot: BootConfig, number: u8, version: &'static str) -> Machine {
     let service = boot.service.clone();
-    let instance = Rc::new(Instance::new(number));
+    let instance = Rc::new(Instance::new(number, version));
     let server = serve(boot.instance_address, Rc::clone(&instance));
     let ip = boot.ip;
     let machine = Machine {
@@ -193,8 +204,9 @@
     pub async fn send_heartbeat(&self, service: &str, state: &str) {
         self.heartbeats_sent.set(self.heartbeats_sent.get() + 1);
         let body = format!(
-            r#"{{"Service":"{service}","Address":"{}:{INSTANCE}","Zone":"suva-a","Version":"v1","Slots":4,"State":"{state}","ColdLeft":"0ms","Seq":{},"born":7}}"#,
+            r#"{{"Service":"{service}","Address":"{}:{INSTANCE}","Zone":"suva-a","Version":"{}","Slots":4,"State":"{state}","ColdLeft":"0ms","Seq":{},"born":7}}"#,
             self.ip,
+            self.instance.version,
             self.heartbeats_sent.get(),
         );
         let target = format!("/-/Instances.Heartbeat/{}", self.instance.name);
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod leaving_clients;
 mod lost_connections;
+mod moves;
 mod notices;
 mod odd_input;
 mod store;
--- a/crates/sidecar/tests/end_to_end/odd_input.rs
+++ b/crates/sidecar/tests/end_to_end/odd_input.rs
@@ -6,6 +6,7 @@
 use http_edge::Request;
 use mesh::moves::MoveOrder;
 use mesh::moves::MoveRecord;
+use mesh::moves::Origin;
 use mesh::moves::Stage;
 use mesh::wire::InstanceInfo;
 use mesh::wire::Member;
@@ -223,6 +224,10 @@
             is_settled: false,
             boosted: vec!["look".into()],
             elapsed: Duration::MAX,
+            origin: Origin {
+                version: Some("none".into()),
+                withdrawn: vec!["v1".into(); 9],
+            },
         };
         for (key, record) in [
             ("member/odd", Record::Member(member("odd"))),
