Evidence of each route is told in its turn, failures first

Cause: a daemon told of the 12 busiest routes of its instance, so that its message fits a datagram, and what nobody had told of counted as proven. A message that was too long went without evidence. Beside it, the routes with few requests that get a larger share were bounded in number only: with 16 such routes, six of them sent 0.4 of 38% of the requests to the target.

Change: EvidencePages selects the routes of each message by their real size. The receiver merges route by route. Messages with evidence leave out the moves of other services. Routes with the larger share have less than a tenth of the requests together.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -96,6 +96,8 @@
     pub proof: RouteProof,
     /// Whether it has few of the service's requests.
     pub is_quiet: bool,
+    /// Its part of the service's requests, in thousandths.
+    pub requests_permille: u32,
 }
 
 /// Instances whose answers a proof uses.
@@ -207,10 +209,7 @@
         let new = self.counts_by_instance(service, target, span);
         let old = self.counts(service, |version| version != target);
         let all = self.counts(service, |_| true);
-        let service_requests = all
-            .values()
-            .map(|count| count.answers + count.missing)
-            .sum();
+        let service_requests = all.values().map(RouteStats::requests).sum();
         let mut unproven: Vec<UnprovenRoute> = all
             .into_keys()
             .map(|route| {
@@ -224,6 +223,7 @@
                 UnprovenRoute {
                     proof: sample.proof(busy, quiet),
                     is_quiet: sample.is_quiet(),
+                    requests_permille: sample.requests_permille(),
                     name: route,
                 }
             })
@@ -254,7 +254,7 @@
             new: &new,
             old: Some(&sum_all(old.values())),
             compares_latency: false,
-            service_requests: new.answers + new.missing,
+            service_requests: new.requests(),
         };
         sample.proof(bad, bad) == RouteProof::Proven
     }
--- a/crates/mesh/src/canary/report.rs
+++ b/crates/mesh/src/canary/report.rs
@@ -1,5 +1,6 @@
 //! What the daemon beside an instance reports of its answers.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use base::FastMap;
@@ -21,6 +22,9 @@
     Stage,
 }
 
+/// Time in which the messages of an instance have told of each of some dozens of routes.
+const FIRST_ROTATION: Duration = Duration::from_secs(1);
+
 /// Evidence reported for one instance.
 #[derive(Debug)]
 pub(super) struct InstanceReport {
@@ -30,6 +34,8 @@
     earlier: Evidence,
     /// All answers of the instance, `earlier` included.
     pub(super) latest: Evidence,
+    /// Arrival time of the first report.
+    first_report: Instant,
     /// Arrival time of the last report.
     pub(super) last_report: Instant,
     /// Evidence at the last reset of the counts; it is subtracted from `latest`.
@@ -53,12 +59,14 @@
             stage_baseline: evidence.clone(),
             raised_baseline: evidence.clone(),
             latest: evidence,
+            first_report: now,
             last_report: now,
             baseline: None,
             recent: FastMap::default(),
         }
     }
 
+    /// Takes over what a message tells, which may be of some routes only.
     pub(super) fn update(&mut self, incarnation: Incarnation, evidence: &Evidence, now: Instant) {
         if incarnation < self.incarnation {
             return;
@@ -68,17 +76,31 @@
             self.incarnation = incarnation;
             self.earlier = self.latest.clone();
         }
-        let evidence = self.earlier.plus(evidence);
-        if self.latest.request_count() >= evidence.request_count() {
+        for (route, count) in &evidence.routes {
+            self.update_route(route, count, now);
+        }
+    }
+
+    fn update_route(&mut self, route: &RouteName, count: &RouteStats, now: Instant) {
+        let mut total = count.clone();
+        if let Some(earlier) = self.earlier.route_stats(route) {
+            total.add(earlier);
+        }
+        let known = self.latest.route_stats(route);
+        if known.is_some_and(|known| known.requests() >= total.requests()) {
             return;
         }
-        for (route, count) in &evidence.routes {
-            let added = count.delta_since(self.latest.route_stats(route));
+        // The first messages of an instance tell one after the other what it has answered before.
+        if known.is_none() && now.saturating_duration_since(self.first_report) < FIRST_ROTATION {
+            self.stage_baseline.set(route, total.clone());
+            self.raised_baseline.set(route, total.clone());
+        } else {
+            let added = total.delta_since(known);
             let good = added.answers.saturating_sub(added.failures);
             let recent = self.recent.entry(route.clone()).or_default();
             recent.record_all(good, added.failures, now);
         }
-        self.latest = evidence;
+        self.latest.set(route, total);
     }
 
     /// Statistics by route since the last reset of the counts.
--- a/crates/mesh/src/evidence.rs
+++ b/crates/mesh/src/evidence.rs
@@ -1,19 +1,28 @@
 //! Statistics of an instance's answers, counted by the daemon beside it, as evidence for judging
 //! the version that it runs.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use base::FastMap;
 use base::ServiceName;
 use base::UnixMillis;
 use base::VersionName;
+use protocol::codec;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::config::RouteName;
 
-/// Maximum number of routes in [`Evidence`]: at up to 64 bytes each they take about half of a
-/// datagram.
-const MAX_ROUTES: usize = 12;
+/// Most bytes of the routes of one message: half of a datagram.
+const MAX_PAGE_BYTES: usize = 700;
+
+/// Part of a page for the routes with faults that no message has told, so that they are told first.
+const FAULTY_PAGE_BYTES: usize = MAX_PAGE_BYTES / 2;
+
+/// How many times as often a route with new answers is told as one without. The others are repeated since a
+/// message may be lost.
+const NEWS_FACTOR: u64 = 8;
 
 /// Answers of one instance on one route since the instance's start.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +95,16 @@
         self.times.iter().skip(bucket + 1).sum()
     }
 
+    /// Returns the number of requests, whether or not they got an answer.
+    pub(crate) fn requests(&self) -> u32 {
+        self.answers + self.missing
+    }
+
+    /// Returns the number of requests that failed or got no answer.
+    fn faults(&self) -> u32 {
+        self.failures + self.missing
+    }
+
     /// Returns the mean latency of the answers, in milliseconds.
     #[allow(clippy::cast_precision_loss)]
     pub(crate) fn mean_ms(&self) -> f64 {
@@ -93,7 +112,8 @@
     }
 }
 
-/// Statistics of one instance since its start. Counts only grow, so merging keeps the larger ones.
+/// Statistics of one instance since its start, of all routes or of some. Counts only grow, so merging keeps the
+/// larger ones of each route.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Service that the instance runs.
@@ -102,54 +122,126 @@
     pub version: VersionName,
     /// Start time of its incarnation, by the instance's clock.
     pub born: UnixMillis,
-    /// Statistics by route, the busiest first.
+    /// Statistics by route.
     pub routes: Vec<(RouteName, RouteStats)>,
 }
 
 impl Evidence {
-    /// Keeps the busiest routes only, so that the evidence fits one datagram.
-    #[must_use]
-    pub fn of_busiest(
-        service: ServiceName,
-        version: VersionName,
-        born: UnixMillis,
-        stats_by_route: impl Iterator<Item = (RouteName, RouteStats)>,
-    ) -> Self {
-        let mut routes: Vec<(RouteName, RouteStats)> = stats_by_route.collect();
-        routes.sort_by_key(|(_, stats)| std::cmp::Reverse(stats.answers + stats.missing));
-        routes.truncate(MAX_ROUTES);
-        Self {
-            service,
-            version,
-            born,
-            routes,
+    /// Sets the counts of a route.
+    pub(crate) fn set(&mut self, name: &RouteName, stats: RouteStats) {
+        match self.routes.iter_mut().find(|(route, _)| route == name) {
+            Some((_, known)) => *known = stats,
+            None => self.routes.push((name.clone(), stats)),
         }
     }
 
-    /// Returns the sum with later counts of the same instance.
-    pub(crate) fn plus(&self, later: &Self) -> Self {
-        let mut sum = self.clone();
-        for (route, stats) in &later.routes {
-            match sum.routes.iter_mut().find(|(name, _)| name == route) {
-                Some((_, known)) => known.add(stats),
-                None => sum.routes.push((route.clone(), stats.clone())),
-            }
-        }
-        sum
-    }
-
     pub(crate) fn route_stats(&self, name: &RouteName) -> Option<&RouteStats> {
         let mut stats_by_route = self.routes.iter();
         stats_by_route
             .find(|(route, _)| route == name)
             .map(|(_, stats)| stats)
     }
+}
 
-    /// Returns the number of requests, whether or not they got an answer.
-    pub(crate) fn request_count(&self) -> u32 {
-        let stats_by_route = self.routes.iter().map(|(_, stats)| stats);
-        stats_by_route
-            .map(|stats| stats.answers + stats.missing)
-            .sum()
+/// What the messages to a receiver have told of a route.
+#[derive(Debug, Default)]
+struct Told {
+    /// Number of the last message with the route.
+    message: u64,
+    requests: u32,
+    faults: u32,
+}
+
+/// Selects the routes of each message with evidence, which holds only some. Routes with new faults come
+/// first, and each route comes in its turn.
+#[derive(Debug, Default)]
+pub struct EvidencePages {
+    born: UnixMillis,
+    /// Number of the latest message.
+    message: u64,
+    told: FastMap<RouteName, Told>,
+}
+
+impl EvidencePages {
+    /// Reduces the evidence of an instance to what the next message holds.
+    #[must_use]
+    pub fn next_page(&mut self, evidence: Evidence) -> Evidence {
+        if self.born != evidence.born {
+            *self = Self {
+                born: evidence.born,
+                ..Self::default()
+            };
+        }
+        self.message += 1;
+        let mut routes = evidence.routes;
+        routes.sort_by_cached_key(|(name, stats)| Reverse(self.urgency(name, stats)));
+        let has_news = |(name, stats): &(RouteName, RouteStats)| self.new_faults(name, stats) > 0;
+        let (faulty, others): (Vec<_>, Vec<_>) = routes.into_iter().partition(has_news);
+        let mut page = Page::default();
+        let postponed = page.add(faulty, FAULTY_PAGE_BYTES);
+        let mut rest = [postponed, others].concat();
+        rest.sort_by_cached_key(|(name, stats)| Reverse(self.urgency(name, stats)));
+        page.add(rest, MAX_PAGE_BYTES);
+        for (name, stats) in &page.routes {
+            let told = Told {
+                message: self.message,
+                requests: stats.requests(),
+                faults: stats.faults(),
+            };
+            self.told.insert(name.clone(), told);
+        }
+        Evidence {
+            routes: page.routes,
+            ..evidence
+        }
+    }
+
+    fn new_faults(&self, name: &RouteName, stats: &RouteStats) -> u32 {
+        let told = self.told.get(name).map_or(0, |told| told.faults);
+        stats.faults().saturating_sub(told)
+    }
+
+    /// Returns for how many messages a route has not been told, weighted by whether there is news, and then its
+    /// requests.
+    fn urgency(&self, name: &RouteName, stats: &RouteStats) -> (u64, u32) {
+        let requests = stats.requests();
+        let Some(told) = self.told.get(name) else {
+            return (u64::MAX, requests);
+        };
+        let age = self.message - told.message;
+        let factor = if requests > told.requests {
+            NEWS_FACTOR
+        } else {
+            1
+        };
+        (age.saturating_mul(factor), requests)
+    }
+}
+
+/// Routes of one message.
+#[derive(Default)]
+struct Page {
+    routes: Vec<(RouteName, RouteStats)>,
+    bytes: usize,
+}
+
+impl Page {
+    /// Adds routes as long as all take at most `max_bytes`; returns the others.
+    fn add(
+        &mut self,
+        routes: Vec<(RouteName, RouteStats)>,
+        max_bytes: usize,
+    ) -> Vec<(RouteName, RouteStats)> {
+        let mut left = Vec::new();
+        for route in routes {
+            let bytes = codec::encode(&route).len();
+            if left.is_empty() && self.bytes + bytes <= max_bytes {
+                self.bytes += bytes;
+                self.routes.push(route);
+            } else {
+                left.push(route);
+            }
+        }
+        left
     }
 }
--- a/crates/mesh/src/move_decision.rs
+++ b/crates/mesh/src/move_decision.rs
@@ -61,6 +61,10 @@
 /// Most routes with a larger share of their own; a record with them fits a datagram.
 const MAX_BOOSTED_ROUTES: usize = 6;
 
+/// Largest part of the service's requests that routes with a larger share have together, in thousandths: the
+/// target must get less than the tenth of all requests that the platform allows.
+const MAX_BOOSTED_PERMILLE: u32 = 100;
+
 /// Decision on an open move.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Decision {
@@ -156,17 +160,27 @@
     }
 }
 
-/// Returns the quiet routes that lack proof at one of the small shares.
+/// Returns quiet routes that lack proof at one of the small shares, those first that wait longest for answers.
 fn boosted_routes(record: &MoveRecord, unproven: &[UnprovenRoute]) -> Vec<RouteName> {
-    match record.stage {
-        Stage::Sharing(..=MAX_UNPROVEN_SHARE) => unproven
-            .iter()
-            .filter(|route| route.is_quiet && route.proof == RouteProof::Open)
-            .map(|route| route.name.clone())
-            .take(MAX_BOOSTED_ROUTES)
-            .collect(),
-        _ => Vec::new(),
+    if record.stage > Stage::Sharing(MAX_UNPROVEN_SHARE) {
+        return Vec::new();
     }
+    let mut quiet: Vec<&UnprovenRoute> = unproven
+        .iter()
+        .filter(|route| route.is_quiet && route.proof == RouteProof::Open)
+        .collect();
+    quiet.sort_by_key(|route| route.requests_permille);
+    let mut left_permille = MAX_BOOSTED_PERMILLE;
+    quiet
+        .into_iter()
+        .take_while(|route| {
+            let left = left_permille.checked_sub(route.requests_permille);
+            left_permille = left.unwrap_or(0);
+            left.is_some()
+        })
+        .take(MAX_BOOSTED_ROUTES)
+        .map(|route| route.name.clone())
+        .collect()
 }
 
 /// Returns the routes that lack proof for the stage after this one.
--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -215,8 +215,8 @@
 /// tenth of all requests during the move.
 const STEPS: [(u64, Share); 3] = [(0, FIRST_SHARE), (700, 500), (720, 1000)];
 
-/// Share of the routes that have few requests and lack proof, in thousandths. Each has less than a tenth of
-/// the service's requests.
+/// Share of the routes that have few requests and lack proof, in thousandths. All of them together have less
+/// than a tenth of the service's requests.
 pub const BOOSTED_SHARE: Share = 400;
 
 /// Steps of a move while routes with few requests lack proof: until the end of its time, the target gets
--- a/crates/mesh/src/route_proof.rs
+++ b/crates/mesh/src/route_proof.rs
@@ -78,7 +78,7 @@
         let faulty = self.faulty(self.new);
         let batch = Batch {
             faulty: u64::from(faulty),
-            calls: u64::from(requests(self.new)),
+            calls: u64::from(self.new.requests()),
             expected,
             bad: bad.rate.max(expected + bad.margin),
         };
@@ -101,14 +101,26 @@
         !self.has_share_of(QUIET_ROUTE_DIVISOR)
     }
 
+    /// Returns the route's part of the service's requests, in thousandths.
+    #[must_use]
+    pub fn requests_permille(&self) -> u32 {
+        let part = u64::from(self.seen()) * 1000 / u64::from(self.service_requests.max(1));
+        u32::try_from(part).unwrap_or(u32::MAX)
+    }
+
     /// Whether the route has more than one in `divisor` of the service's requests.
     fn has_share_of(&self, divisor: u32) -> bool {
-        let seen = requests(self.new) + self.old.map_or(0, requests);
+        let seen = self.seen();
         seen >= MIN_ROUTE_REQUESTS && seen * divisor >= self.service_requests
     }
 
+    /// Requests on the route.
+    fn seen(&self) -> u32 {
+        self.new.requests() + self.old.map_or(0, RouteStats::requests)
+    }
+
     fn faulty_rate(&self, stats: &RouteStats) -> f64 {
-        f64::from(self.faulty(stats)) / f64::from(requests(stats).max(1))
+        f64::from(self.faulty(stats)) / f64::from(stats.requests().max(1))
     }
 
     /// Returns the number of requests that failed, got no answer or a slow one.
@@ -119,10 +131,6 @@
         let slow = baseline.map_or(0, |old| {
             stats.count_slower_than(SLOW_ANSWER_RATIO * old.mean_ms().max(MIN_COMPARED_MS))
         });
-        (stats.failures + stats.missing + slow).min(requests(stats))
+        (stats.failures + stats.missing + slow).min(stats.requests())
     }
 }
-
-fn requests(stats: &RouteStats) -> u32 {
-    stats.answers + stats.missing
-}
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -16,6 +16,7 @@
 mod election;
 mod evacuation;
 mod even_load;
+mod evidence_pages;
 mod former;
 mod instance;
 mod knowledge;
--- a/crates/mesh/src/tests/canary.rs
+++ b/crates/mesh/src/tests/canary.rs
@@ -274,17 +274,3 @@
     check(3, 100, Verdict::InsufficientData);
     check(1, 3000, Verdict::InsufficientData);
 }
-
-#[test]
-fn evidence_of_many_routes_keeps_the_busiest() {
-    let counts = (0..200_u32).map(|route| {
-        let count = RouteStats {
-            answers: route * 7 % 200,
-            ..RouteStats::default()
-        };
-        (format!("route-{route}").into(), count)
-    });
-    let evidence = Evidence::of_busiest("s".into(), "v2".into(), 1, counts);
-    let answers: Vec<u32> = evidence.routes.iter().map(|(_, c)| c.answers).collect();
-    assert_eq!(answers, (188..200).rev().collect::<Vec<_>>());
-}
--- a/crates/mesh/src/tests/move_steps.rs
+++ b/crates/mesh/src/tests/move_steps.rs
@@ -130,3 +130,30 @@
         }
     }
 }
+
+/// Guards against a target that gets more than its share since all routes of the service have few requests.
+#[test]
+fn boosted_routes_have_less_than_a_tenth_of_the_requests_together() {
+    let now = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let names: Vec<String> = (0..16).map(|number| format!("route-{number:02}")).collect();
+    let requests = |route: usize| if route == 15 { 30 } else { 65 };
+    let answers = |requests: &dyn Fn(usize) -> u32| -> Vec<(&str, u32, u32, u64)> {
+        let named = names.iter().enumerate();
+        named
+            .map(|(route, name)| (name.as_str(), requests(route), 0, 90))
+            .collect()
+    };
+    canary.merge(&"a".into(), 1, evidence("v1", &answers(&requests)), now);
+    canary.merge(&"b".into(), 1, evidence("v2", &answers(&|_| 1)), now);
+    let decision = MoveDecider::default().decide(
+        &record(1, Stage::Sharing(30)),
+        &mut canary,
+        1,
+        Duration::from_secs(4),
+        now,
+    );
+    assert_eq!(decision.record.stage, Stage::Sharing(50));
+    // The route with the fewest requests, which waits longest for answers, and one of the others.
+    assert_eq!(decision.record.boosted, ["route-15", "route-00"]);
+}
--- a/crates/sidecar/src/dispatcher.rs
+++ b/crates/sidecar/src/dispatcher.rs
@@ -36,6 +36,7 @@
 use smol_str::SmolStr;
 
 use crate::evidence::RouteCounts;
+use crate::evidence::ToldEvidence;
 use crate::node::Node;
 
 /// Slots assumed until the first heartbeat reports them; fewer than any of the users' instances
@@ -117,6 +118,7 @@
     refused: RefCell<RecentRefusals>,
     pub(crate) instance: Cell<SocketAddr>,
     pub(crate) counts: RefCell<RouteCounts>,
+    pub(crate) pages: RefCell<ToldEvidence>,
     pub(crate) health: RefCell<Health>,
     pub(crate) latency: RefCell<RelativeLatency>,
     pub(crate) work_time: RefCell<WorkTime>,
@@ -151,6 +153,7 @@
             refused: RefCell::default(),
             instance: Cell::new(instance),
             counts: RefCell::default(),
+            pages: RefCell::default(),
             health: RefCell::default(),
             latency: RefCell::default(),
             work_time: RefCell::default(),
--- a/crates/sidecar/src/evidence.rs
+++ b/crates/sidecar/src/evidence.rs
@@ -1,11 +1,13 @@
 //! Evidence on the version of the local instance, counted from its answers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::FastMap;
 use base::UnixMillis;
 use mesh::config::RouteName;
 use mesh::evidence::Evidence;
+use mesh::evidence::EvidencePages;
 use mesh::evidence::RouteStats;
 use mesh::wire::ForwardHead;
 
@@ -19,6 +21,14 @@
     Missing,
 }
 
+/// What has been told to whom.
+#[derive(Default)]
+pub(crate) struct ToldEvidence {
+    controller: Option<SocketAddr>,
+    to_controller: EvidencePages,
+    to_others: EvidencePages,
+}
+
 /// Evidence by route on the instance that was created at `born`.
 #[derive(Default)]
 pub(crate) struct RouteCounts {
@@ -27,7 +37,7 @@
 }
 
 impl InstanceDispatcher {
-    /// Returns the evidence on the current instance; `None` if there is none. Requests during the
+    /// Returns the evidence on the current instance, of all routes; `None` if there is none. Requests during the
     /// instance's cold phase do not count.
     pub fn evidence(&self, node: &Node) -> Option<Evidence> {
         let local = node.local.borrow();
@@ -36,15 +46,33 @@
         if counts.born != heartbeat.born || counts.routes.is_empty() {
             return None;
         }
-        Some(Evidence::of_busiest(
-            heartbeat.service.clone(),
-            heartbeat.version.clone(),
-            counts.born,
-            counts
-                .routes
-                .iter()
-                .map(|(route, count)| (route.clone(), count.clone())),
-        ))
+        let routes = counts.routes.iter();
+        Some(Evidence {
+            service: heartbeat.service.clone(),
+            version: heartbeat.version.clone(),
+            born: counts.born,
+            routes: routes
+                .map(|(route, count)| (route.clone(), count.clone()))
+                .collect(),
+        })
+    }
+
+    /// Returns the part of the evidence for the next message to the controller at `address`.
+    pub fn evidence_for_controller(&self, node: &Node, address: SocketAddr) -> Option<Evidence> {
+        let evidence = self.evidence(node)?;
+        let mut pages = self.pages.borrow_mut();
+        if pages.controller != Some(address) {
+            pages.controller = Some(address);
+            pages.to_controller = EvidencePages::default();
+        }
+        Some(pages.to_controller.next_page(evidence))
+    }
+
+    /// Returns the part of the evidence for the next message to other daemons, which may become the
+    /// controller.
+    pub fn evidence_for_others(&self, node: &Node) -> Option<Evidence> {
+        let evidence = self.evidence(node)?;
+        Some(self.pages.borrow_mut().to_others.next_page(evidence))
     }
 
     pub(crate) fn record_evidence(&self, node: &Node, head: &ForwardHead, sample: EvidenceSample) {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -133,8 +133,8 @@
     loop {
         monoio::time::sleep(EVIDENCE_INTERVAL).await;
         if let Some(address) = node.evidence_receiver() {
-            node.send_gossip(&node.build_gossip(Vec::new()), [address])
-                .await;
+            let gossip = node.build_evidence(address);
+            node.send_gossip(&gossip, [address]).await;
         }
     }
 }
@@ -348,7 +348,9 @@
         members.extend(others);
         let (moves, clocks) = (self.moves.borrow(), self.order_clocks.borrow());
         let now = Instant::now();
-        let evidence = self.has_open_move().then(|| self.dispatcher.evidence(self));
+        let evidence = self
+            .has_open_move()
+            .then(|| self.dispatcher.evidence_for_others(self));
         Gossip {
             members,
             config: self.active_table.borrow().version(),
@@ -370,6 +372,20 @@
         }
     }
 
+    /// Builds a message with evidence for the controller at `address`. The moves of other services are left out,
+    /// so that it fits a datagram.
+    fn build_evidence(&self, address: SocketAddr) -> Gossip {
+        let mut gossip = self.build_gossip(Vec::new());
+        gossip.evidence = self.dispatcher.evidence_for_controller(self, address);
+        if let Some(evidence) = &gossip.evidence {
+            let service = &evidence.service;
+            gossip
+                .moves
+                .retain(|record| record.order.service == *service);
+        }
+        gossip
+    }
+
     /// Returns what only some deployments exchange.
     fn gossip_extension(&self) -> Option<GossipExtension> {
         let evacuations = self.evacuations.borrow().view().cloned();
