Answers are charged before they arrive, and wait for room

Seen: a daemon with 40 MB took 107 to 116 MB when an instance gave a hundred answers of 1 MB at once, and 86 to 89 MB when a peer did (the two red tests of the list).

Cause: the budget charged an answer only when it was written. As many as ran at once were read into memory, and nothing bounded their sum.

Change: the whole length of an answer above 16 KiB is charged before its body is read, in at most a quarter of the budget, until its writing begins; one without room waits within the time of its call, and its connection is not read. Answers that nobody reads give way as before, and a waiting one awaits their end. One answer is admitted where only requests hold memory, as they may wait for it.

--- a/crates/http-edge/src/budget.rs
+++ b/crates/http-edge/src/budget.rs
@@ -5,6 +5,7 @@
 //! last. Whole requests are never evicted.
 
 mod account;
+mod arrival;
 mod ledger;
 
 use std::cell::RefCell;
@@ -16,6 +17,8 @@
 pub(crate) use crate::budget::account::Charge;
 pub(crate) use crate::budget::account::Eviction;
 pub(crate) use crate::budget::account::NoRoom;
+pub use crate::budget::arrival::AnswerCharge;
+pub(crate) use crate::budget::arrival::Arrival;
 pub use crate::budget::ledger::BudgetStats;
 use crate::budget::ledger::Ledger;
 pub(crate) use crate::budget::ledger::Size;
@@ -55,7 +58,7 @@
 
 struct Shared {
     ledger: RefCell<Ledger>,
-    /// Tasks that wait until evicted requests have given back their memory.
+    /// Tasks that wait until others have given back memory.
     waiting: Wakers,
 }
 
--- a/crates/http-edge/src/budget/ledger.rs
+++ b/crates/http-edge/src/budget/ledger.rs
@@ -16,10 +16,12 @@
 /// Part of the memory that requests with large bodies may take, in eighths.
 const LARGE_EIGHTHS: usize = 7;
 
-/// Part of the memory up to which answers that nobody reads are kept, in quarters; further answers are on
-/// their way and not charged yet.
+/// Part of the memory up to which answers that nobody reads are kept, in quarters.
 const UNREAD_QUARTERS: usize = 3;
 
+/// Part of the memory that answers may take from their arrival until they are written, in quarters.
+const ARRIVING_QUARTERS: usize = 1;
+
 /// Time without a byte written after which the client of an answer counts as not reading.
 const UNREAD_TIME: Duration = Duration::from_millis(5);
 
@@ -103,6 +105,10 @@
     used: Bytes,
     /// Part of `used` that evicted requests have still to give back.
     leaving: Bytes,
+    /// Part of `used` of answers that are not being written yet.
+    arriving: usize,
+    /// Part of `used` of answers that are being written.
+    answers: usize,
     accounts: FastMap<u64, Rc<AccountState>>,
     last_id: u64,
     stats: BudgetStats,
@@ -114,6 +120,8 @@
             limits,
             used: Bytes::default(),
             leaving: Bytes::default(),
+            arriving: 0,
+            answers: 0,
             accounts: FastMap::default(),
             last_id: 0,
             stats: BudgetStats::default(),
@@ -200,14 +208,9 @@
     /// Charges an answer, and evicts others for it.
     pub(super) fn hold_answer(&mut self, state: &Rc<AccountState>, bytes: usize) {
         self.used.all += bytes;
+        self.answers += bytes;
         state.set_answer(bytes);
-        let max_unread = self.limits.max_bytes / 4 * UNREAD_QUARTERS;
-        while self.used.minus(self.leaving).all > max_unread {
-            let Some(unread) = self.longest_unread() else {
-                break;
-            };
-            self.evict(&unread, Eviction::Memory);
-        }
+        self.evict_unread(0);
         while self.used.minus(self.leaving).all > self.limits.max_bytes {
             let largest = self.largest(true);
             let Some(largest) = largest.filter(|other| !Rc::ptr_eq(other, state)) else {
@@ -217,9 +220,54 @@
         }
     }
 
+    /// Charges an answer before it is read, and evicts others for it; false if it has to wait until there is room.
+    /// After it has waited, those that hold memory are written, if slowly, and more of it may be taken. If only
+    /// requests hold memory, one answer is always admitted, since they may wait for it.
+    pub(super) fn begin_arrival(&mut self, bytes: usize, has_waited: bool) -> bool {
+        let max_arriving = self.limits.max_bytes / 4 * ARRIVING_QUARTERS;
+        if self.arriving > 0 && self.arriving + bytes > max_arriving {
+            return false;
+        }
+        self.evict_unread(bytes);
+        let max = if has_waited {
+            self.limits.max_bytes
+        } else {
+            self.max_with_unread()
+        };
+        let has_answers = self.arriving > 0 || self.answers > 0 || self.leaving.all > 0;
+        if has_answers && self.used.all + bytes > max {
+            return false;
+        }
+        self.arriving += bytes;
+        self.used.all += bytes;
+        true
+    }
+
+    /// Gives back memory of an answer that is written or dropped.
+    pub(super) fn release_arrival(&mut self, bytes: usize) {
+        self.arriving -= bytes;
+        self.used.all -= bytes;
+    }
+
+    /// Evicts answers that nobody reads until so many more bytes find room beside the others.
+    fn evict_unread(&mut self, bytes: usize) {
+        while self.used.minus(self.leaving).all + bytes > self.max_with_unread() {
+            let Some(unread) = self.longest_unread() else {
+                return;
+            };
+            self.evict(&unread, Eviction::Memory);
+        }
+    }
+
+    /// Returns up to how many bytes answers that nobody reads are kept.
+    fn max_with_unread(&self) -> usize {
+        self.limits.max_bytes / 4 * UNREAD_QUARTERS
+    }
+
     /// Gives back memory of an answer.
     pub(super) fn release_answer(&mut self, state: &AccountState) {
         let answer = Bytes::of(Size::Small, state.answer());
+        self.answers -= answer.all;
         state.set_answer(0);
         self.used = self.used.minus(answer);
         if state.is_evicted() {
--- a/crates/http-edge/src/client.rs
+++ b/crates/http-edge/src/client.rs
@@ -24,6 +24,9 @@
 use monoio::net::TcpStream;
 
 use crate::body::Body;
+use crate::budget::AnswerCharge;
+use crate::budget::Arrival;
+use crate::budget::MemoryBudget;
 use crate::encode::INITIAL_HEAD_BYTES;
 use crate::encode::MAX_INLINE_BODY_BYTES;
 use crate::encode::is_bodiless;
@@ -56,6 +59,8 @@
     w: OwnedWriteHalf<TcpStream>,
     input: MessageReader<OwnedReadHalf<TcpStream>>,
     limits: Limits,
+    /// Memory that answers are charged to; `None` if they are not.
+    budget: Option<MemoryBudget>,
     peer: SocketAddr,
     opened_at: Instant,
     reuse: Reuse,
@@ -98,6 +103,7 @@
             w,
             input: MessageReader::new(r),
             limits,
+            budget: None,
             peer,
             opened_at: Instant::now(),
             reuse: Reuse::Allowed,
@@ -106,6 +112,13 @@
         })
     }
 
+    /// Charges the answers to a budget.
+    #[must_use]
+    pub fn within(mut self, budget: MemoryBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
     /// Address of the peer.
     #[must_use]
     pub fn peer(&self) -> SocketAddr {
@@ -178,8 +191,8 @@
         let framing = framing::of_message(version, &headers);
         let framing =
             framing.map_err(|_| CallError::Broken("ambiguous response length".to_owned()))?;
-        let body = if is_head || is_bodiless(status) {
-            Bytes::new()
+        let (body, charge) = if is_head || is_bodiless(status) {
+            (Bytes::new(), None)
         } else {
             self.read_body(framing).await?
         };
@@ -187,6 +200,7 @@
             status,
             headers,
             body,
+            charge,
         })
     }
 
@@ -224,15 +238,24 @@
         }
     }
 
-    async fn read_body(&mut self, framing: Framing) -> Result<Bytes, CallError> {
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+    ) -> Result<(Bytes, Option<AnswerCharge>), CallError> {
         // Such a response ends with the connection, so a truncated one would look complete.
         if framing == Framing::Empty {
             return Err(CallError::Broken("response without a length".to_owned()));
         }
         let max_body = self.limits.max_body_bytes;
-        let parts = self.input.read_body(framing, max_body, Terms::UNBOUNDED);
-        let parts = parts.await.map_err(to_call_error)?;
-        Ok(Body::from_parts(parts).to_bytes())
+        let budget = self.budget.as_ref();
+        let arrival = budget.map(|budget| Arrival::new(budget, framing, max_body));
+        let terms = Terms {
+            arrival: arrival.as_ref(),
+            ..Terms::UNBOUNDED
+        };
+        let parts = self.input.read_body(framing, max_body, terms).await;
+        let body = Body::from_parts(parts.map_err(to_call_error)?).to_bytes();
+        Ok((body, arrival.and_then(Arrival::into_charge)))
     }
 
     /// Closes the connection; a response that is still expected is lost.
--- a/crates/http-edge/src/incoming.rs
+++ b/crates/http-edge/src/incoming.rs
@@ -11,6 +11,7 @@
 use monoio::io::AsyncReadRent;
 
 use crate::budget::Account;
+use crate::budget::Arrival;
 use crate::budget::NoRoom;
 use crate::budget::Size;
 use crate::chunks::ChunkDecoder;
@@ -84,6 +85,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Terms<'a> {
     pub(crate) account: Option<&'a Account>,
+    /// The answer that is read, instead of an account.
+    pub(crate) arrival: Option<&'a Arrival<'a>>,
     pub(crate) pace: Option<Pace>,
 }
 
@@ -91,13 +94,19 @@
     /// Neither memory nor time is bounded here.
     pub(crate) const UNBOUNDED: Self = Self {
         account: None,
+        arrival: None,
         pace: None,
     };
 
     async fn take(&self, size: Size, bytes: usize) -> Result<(), NoRoom> {
         match self.account {
             Some(account) if bytes > 0 => account.take(size, bytes).await,
-            _ => Ok(()),
+            _ => {
+                if let Some(arrival) = self.arrival {
+                    arrival.take(bytes).await;
+                }
+                Ok(())
+            }
         }
     }
 
--- a/crates/http-edge/src/lib.rs
+++ b/crates/http-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod server;
 
 pub use body::Body;
+pub use budget::AnswerCharge;
 pub use budget::BudgetLimits;
 pub use budget::BudgetStats;
 pub use budget::MemoryBudget;
--- a/crates/http-edge/src/message.rs
+++ b/crates/http-edge/src/message.rs
@@ -9,6 +9,7 @@
 use http::header::CONTENT_TYPE;
 
 use crate::body::Body;
+use crate::budget::AnswerCharge;
 
 /// A request with its complete body.
 #[derive(Debug, Clone)]
@@ -95,6 +96,8 @@
     pub headers: HeaderMap,
     /// Complete body without chunk headers.
     pub body: Bytes,
+    /// Memory that an answer from a connection takes until it is sent on; `None` if it is not charged.
+    pub charge: Option<AnswerCharge>,
 }
 
 impl Response {
@@ -105,6 +108,7 @@
             status,
             headers: HeaderMap::new(),
             body: body.into(),
+            charge: None,
         }
     }
 
--- a/crates/http-edge/src/pool.rs
+++ b/crates/http-edge/src/pool.rs
@@ -7,6 +7,7 @@
 
 use base::FastMap;
 
+use crate::budget::MemoryBudget;
 use crate::client::Conn;
 use crate::error::ConnectError;
 use crate::limits::Limits;
@@ -42,6 +43,8 @@
 /// Idle connections by peer; the most recently used is taken first.
 pub struct Pool {
     cfg: PoolCfg,
+    /// Memory that responses are charged to; `None` if they are not.
+    budget: Option<MemoryBudget>,
     idle: RefCell<FastMap<SocketAddr, Vec<IdleConn>>>,
 }
 
@@ -56,10 +59,20 @@
     pub fn new(cfg: PoolCfg) -> Self {
         Self {
             cfg,
+            budget: None,
             idle: RefCell::default(),
         }
     }
 
+    /// Creates an empty pool that charges responses to a budget.
+    #[must_use]
+    pub fn within(cfg: PoolCfg, budget: MemoryBudget) -> Self {
+        Self {
+            budget: Some(budget),
+            ..Self::new(cfg)
+        }
+    }
+
     /// Returns an idle connection to the peer, or opens a new one.
     ///
     /// # Errors
@@ -76,7 +89,11 @@
     /// # Errors
     /// When the connection cannot be opened.
     pub async fn connect_new(&self, peer: SocketAddr) -> Result<Conn, ConnectError> {
-        Conn::connect(peer, self.cfg.connect_timeout, self.cfg.limits).await
+        let conn = Conn::connect(peer, self.cfg.connect_timeout, self.cfg.limits).await?;
+        Ok(match &self.budget {
+            Some(budget) => conn.within(budget.clone()),
+            None => conn,
+        })
     }
 
     /// Returns a connection to the pool; one that must not be reused is closed.
--- a/crates/http-edge/src/server/reader.rs
+++ b/crates/http-edge/src/server/reader.rs
@@ -153,6 +153,7 @@
         let conn = self.conn;
         let terms = Terms {
             account: Some(&conn.account),
+            arrival: None,
             pace: Some(pace(&cfg)),
         };
         conn.has_begun.set(false);
--- a/crates/http-edge/src/server/writer.rs
+++ b/crates/http-edge/src/server/writer.rs
@@ -161,7 +161,13 @@
     let _ = write_response(w, res, BodyMode::Full).await;
 }
 
-async fn write_response(w: &mut Writer<'_>, res: Response, body_mode: BodyMode) -> io::Result<()> {
+async fn write_response(
+    w: &mut Writer<'_>,
+    mut res: Response,
+    body_mode: BodyMode,
+) -> io::Result<()> {
+    // From here on the connection is charged.
+    drop(res.charge.take());
     let (head, body): (_, Bytes) = encode::encode_response(res, body_mode);
     let hold = (!body.is_empty()).then(|| w.account.hold_answer(body.len()));
     w.write_all(head).await?;
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of server and client, with each other and with raw sockets.
 
+mod arrivals;
 mod budget;
 mod chunks;
 mod disconnects;
--- a/crates/sidecar/src/dispatcher.rs
+++ b/crates/sidecar/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use base::UnixMillis;
 use http_edge::Conn;
 use http_edge::ConnectError;
+use http_edge::MemoryBudget;
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use http_edge::Request;
@@ -129,8 +130,8 @@
 }
 
 impl InstanceDispatcher {
-    /// Creates a dispatcher for the instance at this address.
-    pub fn new(instance: SocketAddr) -> Self {
+    /// Creates a dispatcher for the instance at this address, whose answers are charged to the budget.
+    pub fn new(instance: SocketAddr, budget: MemoryBudget) -> Self {
         let cfg = AdmissionCfg {
             slots: INITIAL_SLOTS,
             max_queued: MAX_QUEUED,
@@ -149,7 +150,7 @@
             granted: RefCell::default(),
             last_key: Cell::new(0),
             origins: RefCell::default(),
-            conns: Pool::new(pool),
+            conns: Pool::within(pool, budget),
             refused: RefCell::default(),
             instance: Cell::new(instance),
             counts: RefCell::default(),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -179,6 +179,7 @@
             ..PoolCfg::default()
         };
         let started_at = Instant::now();
+        let limits = RequestLimits::new(&boot);
         Self {
             incarnation: Cell::new(incarnation),
             active_table: RefCell::default(),
@@ -209,7 +210,7 @@
             canary: RefCell::default(),
             move_decider: RefCell::default(),
             order_clocks: RefCell::new(OrderClocks::new(started_at)),
-            dispatcher: InstanceDispatcher::new(boot.instance_address),
+            dispatcher: InstanceDispatcher::new(boot.instance_address, limits.budget.clone()),
             quarantine: RefCell::default(),
             crash_detector: CrashDetector::default(),
             isolation: Rc::default(),
@@ -218,8 +219,8 @@
             cold: ColdGuard::new(started_at),
             released: RefCell::default(),
             transfers: TransferGate::new(boot.link_mbps),
-            limits: RequestLimits::new(&boot),
-            peer_conns: Pool::new(pool_cfg),
+            peer_conns: Pool::within(pool_cfg, limits.budget.clone()),
+            limits,
             store: StoreClient::new(boot.store_address),
             caps: CapGate::new(
                 boot.daemon.clone(),
