The client of the store takes over a new address from the settings

Cause: a reload handed on the address of the instance only; the client of the store kept its own.

The line reloaded tells of it.

--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -371,15 +371,19 @@
         match BootConfig::load() {
             Ok(boot) => {
                 let is_changed = *self.boot.borrow() != boot;
+                let has_store_moved = self.store.set_address(boot.store_address);
                 if is_changed {
                     self.dispatcher.set_instance(boot.instance_address);
                     *self.boot.borrow_mut() = boot;
                 }
                 if is_changed || is_requested {
-                    self.log_state(
-                        "reloaded",
-                        || json!({ "changed": is_changed, "asked": is_requested }),
-                    );
+                    self.log_state("reloaded", || {
+                        json!({
+                            "changed": is_changed,
+                            "asked": is_requested,
+                            "store_moved": has_store_moved,
+                        })
+                    });
                 }
             }
             Err(e) => self.log_state("reload-failed", || json!({ "reason": e.to_string() })),
--- a/daemons/bronzehead-sidecar/tests/processes/main.rs
+++ b/daemons/bronzehead-sidecar/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod departures;
 mod planned_stops;
+mod settings;
 #[allow(dead_code, reason = "the targets share it, and none uses all of it")]
 #[path = "../site/mod.rs"]
 mod site;
--- a/daemons/bronzehead-sidecar/tests/site/mod.rs
+++ b/daemons/bronzehead-sidecar/tests/site/mod.rs
@@ -76,6 +76,7 @@
 const INSTANCE: u16 = 9104;
 pub const PEERS: u16 = 9105;
 const STORE: u16 = 9106;
+const MOVED_STORE: u16 = 9107;
 
 /// Processes of the daemons of a test, by the address of their machine.
 type Processes = Rc<RefCell<HashMap<IpAddr, Child>>>;
@@ -104,6 +105,7 @@
     terminated_at: Cell<Instant>,
     instance_server: RefCell<Option<Server>>,
     store_server: RefCell<Option<Server>>,
+    store_port: Cell<u16>,
     setup: Setup,
 }
 
@@ -129,6 +131,7 @@
             terminated_at: Cell::new(Instant::now()),
             instance_server: RefCell::new(Some(instance_server)),
             store_server: RefCell::new(Some(store_server)),
+            store_port: Cell::new(STORE),
             setup,
         });
         machine.write_settings();
@@ -153,7 +156,7 @@
             "Heartbeat": "1500ms",
             "Bounds": ["Grace=6s", "RetryRatio=0.2", "RetrySlack=60"],
             "AppAddr": at(INSTANCE),
-            "Platform": { "Address": at(STORE), "form": "log" },
+            "Platform": { "Address": at(self.store_port.get()), "form": "log" },
         });
         // JSON is YAML.
         fs::write(self.settings_path(), settings.to_string()).expect("the folder can be written");
@@ -199,11 +202,26 @@
 
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+        self.terminated_at.set(Instant::now());
+    }
+
+    fn signal(&self, name: &str) {
         let processes = self.processes.borrow();
         let pid = processes[&self.ip].id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        let sent = Command::new("kill").args([name, &pid]).status();
         assert!(sent.expect("the command exists").success());
-        self.terminated_at.set(Instant::now());
+    }
+
+    /// Opens another address of the store, which the settings name from now on. The daemon gets a SIGHUP. Returns
+    /// the server at the former address.
+    pub fn move_store(&self) -> Server {
+        let server = serve(self.ip, MOVED_STORE, Rc::new(self.store.clone()));
+        let former = self.store_server.replace(Some(server));
+        self.store_port.set(MOVED_STORE);
+        self.write_settings();
+        self.signal("-HUP");
+        former.expect("it runs")
     }
 
     /// Waits until the daemon has ended; returns how long that took from the signal on.
