--- a/cli/src/explain/timeline.rs
+++ b/cli/src/explain/timeline.rs
@@ -32,12 +32,13 @@
 ];
 
 /// Events that end a request at the daemon that received it from the client.
-const END_EVENTS: [&str; 8] = [
+const END_EVENTS: [&str; 9] = [
     "answered",
     "refused",
     "key-refused",
     "outcome-unknown",
     "timed-out",
+    "client-left",
     "no-route",
     "no-configuration",
     "request-unreadable",
@@ -103,6 +104,7 @@
 fn describe_end(end: &LogLine, own: &[&LogLine]) -> String {
     let cause_events: &[&str] = match end.event.as_str() {
         "refused" => &["gate-refused", "transfer-refused"],
+        "client-left" => &["run-abandoned"],
         _ => &["answer-missing"],
     };
     let mut causes = own.iter().rev();
@@ -129,6 +131,12 @@
             line.display_field("bytes"),
             line.display_field("reason"),
         ),
+        Some(line) if line.event == "run-abandoned" => format!(
+            "; {} closed its connection to {} after {} ms",
+            line.daemon,
+            line.display_field("instance"),
+            line.display_field("waited_ms"),
+        ),
         Some(line) => format!(
             "; {} got no complete answer from {}: {}",
             line.daemon,
@@ -170,6 +178,10 @@
             end.display_field("daemon"),
             end.display_field("reason"),
         ),
+        "client-left" => format!(
+            "given up as its client left after {} ms",
+            end.display_field("took_ms")
+        ),
         "timed-out" => format!("timed out after {} ms", end.display_field("left_ms")),
         "no-route" => format!(
             "no route for {}{} in configuration {}",
--- a/cli/src/tests.rs
+++ b/cli/src/tests.rs
@@ -70,6 +70,18 @@
     assert!(timeline.ends_with(end), "{timeline}");
 }
 
+#[test]
+fn a_request_whose_client_left_shows_where_it_was_given_up() {
+    let text = r#"
+ 1.0 back {"at_ms":312,"event":"run-abandoned","request":"r1","instance":"i-3","waited_ms":298}
+ 1.0 front {"at_ms":312,"event":"client-left","request":"r1","route":"look","took_ms":301}
+"#;
+    let timeline = crate::explain::request_timeline(lines(text), "r1").to_string();
+    let end = "end: given up as its client left after 301 ms; back closed its connection to i-3 \
+               after 298 ms";
+    assert!(timeline.ends_with(end), "{timeline}");
+}
+
 #[test]
 fn a_failed_call_explains_the_failure_of_its_request() {
     let text = r#"
