An outdated record does not withdraw the version in use

Cause: what an older record tells was added to the withdrawn versions unchecked.

Change: one function adds them, and leaves out the version in use.

Measured: the test failed before, with v2 in use and withdrawn, and passes.

--- a/crates/mesh/src/moves.rs
+++ b/crates/mesh/src/moves.rs
@@ -57,12 +57,22 @@
         if self.version.is_none() {
             self.version.clone_from(&other.version);
         }
-        let missing = |version: &&VersionName| !self.withdrawn.contains(version);
-        let mut withdrawn: Vec<VersionName> =
-            other.withdrawn.iter().filter(missing).cloned().collect();
-        withdrawn.append(&mut self.withdrawn);
-        let excess = withdrawn.len().saturating_sub(MAX_WITHDRAWN);
-        self.withdrawn = withdrawn.split_off(excess);
+        let known = mem::take(&mut self.withdrawn);
+        let earlier = other.withdrawn.iter().cloned();
+        earlier
+            .chain(known)
+            .for_each(|version| self.withdraw(version));
+    }
+
+    /// Adds a version as the latest withdrawn one. That in use never is: an outdated record may show its move as
+    /// open.
+    fn withdraw(&mut self, version: VersionName) {
+        self.withdrawn.retain(|known| *known != version);
+        if self.version.as_ref() != Some(&version) {
+            self.withdrawn.push(version);
+        }
+        let excess = self.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+        self.withdrawn.drain(..excess);
     }
 
     /// Whether a version other than that in use may take its place if it has no instance left.
@@ -107,13 +117,7 @@
             }
         } else {
             let mut origin = self.origin.clone();
-            let ended = &self.order.target;
-            if origin.version.as_ref() != Some(ended) {
-                origin.withdrawn.retain(|version| version != ended);
-                origin.withdrawn.push(ended.clone());
-                let excess = origin.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
-                origin.withdrawn.drain(..excess);
-            }
+            origin.withdraw(self.order.target.clone());
             origin
         };
         origin.withdrawn.retain(|version| version != target);
--- a/crates/mesh/src/tests/move_origin.rs
+++ b/crates/mesh/src/tests/move_origin.rs
@@ -118,6 +118,27 @@
     }
 }
 
+/// Guards against evidence of the version in use that is discarded, as an outdated record shows its move as open.
+#[test]
+fn an_outdated_record_does_not_withdraw_the_version_in_use() {
+    let complete = MoveRecord {
+        origin: origin(Some("v1"), &[]),
+        ..ordered(1, "v2", Stage::Complete)
+    };
+    let shared = MoveRecord {
+        stage: Stage::Sharing(500),
+        ..complete.clone()
+    };
+    let rolled_back = ordered(0, "v2", Stage::RolledBack);
+    let next = ordered(2, "v3", Stage::Sharing(30));
+    let mut moves = Moves::default();
+    for record in [complete, next, shared, rolled_back] {
+        moves.merge(record);
+    }
+    let known = &moves.get("catalogue").unwrap().origin;
+    assert_eq!(*known, origin(Some("v2"), &[]));
+}
+
 /// Guards against a controller without a memory of earlier orders that writes a wrong version in use.
 #[test]
 fn the_store_decides_on_the_origin_of_a_move() {
