Addresses of their own for the test of leaving clients

Cause: the new test of clients that leave used the addresses of that test, and both ran at the same time.

Change: it has a number of its own.

--- a/crates/sidecar/tests/end_to_end/leaving_clients.rs
+++ b/crates/sidecar/tests/end_to_end/leaving_clients.rs
@@ -58,7 +58,7 @@
 /// Guards against runs that go on at an instance for clients that have left by a reset, or behind a second request.
 #[test]
 fn an_instance_stops_work_for_a_client_that_has_left_in_any_way() {
-    with_fleet(41, |_, front, back| async move {
+    with_fleet(44, |_, front, back| async move {
         wait_for_instance(&front).await;
         for leave in [Leave::Close, Leave::Reset] {
             for behind in ["", "GET /look/ha", &head("GET", "/look/2", "behind")] {
