--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,7 +5,9 @@
 
 mod caller_service;
 mod fleet;
+mod large_priority;
 mod net;
+mod site;
 mod store;
 
 use std::process::ExitCode;
@@ -53,6 +55,7 @@
     };
     let finding = match case.as_str() {
         "caller-service" => caller_service::play(&run),
+        "large-priority" => large_priority::play(&run),
         _ => Finding::CannotRun(format!("unknown case {case}")),
     };
     let (code, text) = match finding {
