--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -58,6 +58,8 @@
     pub request: String,
     pub server: String,
     pub caller: String,
+    /// Customer that the request names, if it names one.
+    pub tenant: Option<String>,
     pub path: String,
     pub at: Instant,
 }
@@ -171,12 +173,13 @@
             request: request.clone(),
             server: self.cfg.id.clone(),
             caller: header("x-caller-service"),
+            tenant: req.header("x-tenant").map(str::to_owned),
             path: req.word(1).to_owned(),
             at: Instant::now(),
         };
         self.record.write(&format!(
-            "server {} ({}) runs {} of caller {}",
-            run.server, self.cfg.service, run.request, run.caller
+            "server {} ({}) runs {} of caller {}, customer {:?}",
+            run.server, self.cfg.service, run.request, run.caller, run.tenant
         ));
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.cfg.work);
@@ -343,30 +346,31 @@
 
 /// Sends a request of a client of a machine to its daemon.
 pub fn request(machine: &Machine, record: &Record, id: &str, method: &str, path: &str, left_ms: u64) -> Answered {
-    request_at(machine.address(OUTBOUND), &machine.name, record, id, method, path, left_ms)
+    request_with(machine, record, id, (method, path), left_ms, &[])
 }
 
-/// The same by address.
-pub fn request_at(
-    to: SocketAddr,
-    name: &str,
+/// The same with further headers.
+pub fn request_with(
+    machine: &Machine,
     record: &Record,
     id: &str,
-    method: &str,
-    path: &str,
+    (method, path): (&str, &str),
     left_ms: u64,
+    further: &[(&str, &str)],
 ) -> Answered {
     let left = left_ms.to_string();
-    let headers = [
+    let mut headers = vec![
         ("Host", "shop.example"),
         ("X-Request-Id", id),
         ("X-Deadline-Ms", left.as_str()),
     ];
+    headers.extend(further);
     let body = if method == "GET" { "" } else { "{\"item\":7}" };
     let req = message(format!("{method} {path} HTTP/1.1"), &headers, body);
     let sent_at = Instant::now();
-    record.write(&format!("client at {name} sends {id}: {method} {path}"));
-    let res = call(to, &req, Duration::from_millis(left_ms + 500));
+    let name = &machine.name;
+    record.write(&format!("client at {name} sends {id}: {method} {path} {further:?}"));
+    let res = call(machine.address(OUTBOUND), &req, Duration::from_millis(left_ms + 500));
     let end = res.map(|res| res.status());
     record.write(&format!("client at {name} gets for {id}: {end:?}"));
     Answered {
@@ -390,6 +394,11 @@
 
 /// Text of a configuration.
 pub fn config(version: u64, routes: &[RouteCfg<'_>]) -> String {
+    config_with(version, routes, "")
+}
+
+/// The same with further fields, each with a comma behind it.
+pub fn config_with(version: u64, routes: &[RouteCfg<'_>], further: &str) -> String {
     let mut services = BTreeMap::new();
     let mut rows = Vec::new();
     for (index, route) in routes.iter().enumerate() {
@@ -413,7 +422,7 @@
         })
         .collect();
     format!(
-        "{{\"Version\":\"r{version}\",\"Routes\":{{{}}},\"Services\":{{{}}},\"Limits\":{{\"MaxHeaderBytes\":16384,\
+        "{{\"Version\":\"r{version}\",{further}\"Routes\":{{{}}},\"Services\":{{{}}},\"Limits\":{{\"MaxHeaderBytes\":16384,\
          \"MaxBodyBytes\":67108864,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}}}",
         rows.join(","),
         services.join(",")
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -9,6 +9,7 @@
 mod net;
 mod site;
 mod store;
+mod tenant_header;
 
 use std::process::ExitCode;
 use std::thread;
@@ -56,6 +57,7 @@
     let finding = match case.as_str() {
         "caller-service" => caller_service::play(&run),
         "large-priority" => large_priority::play(&run),
+        "tenant-header" => tenant_header::play(&run),
         _ => Finding::CannotRun(format!("unknown case {case}")),
     };
     let (code, text) = match finding {
