--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -282,12 +282,19 @@
     pub store: SocketAddr,
     pub is_first_start: bool,
     pub grace: &'a str,
+    /// Bounds beyond those of all deployments.
+    pub further_bounds: &'a [&'a str],
 }
 
 /// Prepares a machine: writes the settings of its daemon as the platform lays them.
 pub fn machine(cfg: &SettingsCfg<'_>, name: &str, ip: &str, zone: &str, service: &str) -> Machine {
     let settings = PathBuf::from(cfg.folder).join(format!("{name}.yaml"));
     let SettingsCfg { store, grace, is_first_start, .. } = cfg;
+    let further: String = cfg
+        .further_bounds
+        .iter()
+        .map(|bound| format!("  - \"{bound}\"\n"))
+        .collect();
     let text = format!(
         "Node: \"{name}\"\nRole: \"bronzehead\"\nMachineClass: \"sidecar\"\nServes:\n  - \"sidecar\"\n\
          Ip: \"{ip}\"\nZone: \"{zone}\"\nRegion: \"attiki\"\nZones:\n  attiki-a: \"attiki\"\n  attiki-b: \"attiki\"\n\
@@ -301,7 +308,7 @@
          - \"CatchUp=4s\"\n  - \"Drain=2000ms\"\n  - \"Grace={grace}\"\n  - \"LossSlack=200ms\"\n  \
          - \"ConfigApply=2000ms\"\n  - \"RollbackSlack=250ms\"\n  - \"Stretch=5000ms\"\n  - \"RetryRatio=0.2\"\n  \
          - \"RetryWindow=10s\"\n  - \"RetrySlack=60\"\n  - \"ExposeShare=0.1\"\n  - \"ExposeSlack=50\"\n  \
-         - \"Rollback=5000ms\"\n  - \"Recover=15s\"\nAppAddr: \"{ip}:{APP}\"\nService: \"{service}\"\n\
+         - \"Rollback=5000ms\"\n  - \"Recover=15s\"\n{further}AppAddr: \"{ip}:{APP}\"\nService: \"{service}\"\n\
          Platform:\n  Address: \"{store}\"\n  form: \"log\"\n  WritesPerS: 400\n  ReadsPerS: 2000\n  parts: 12\n  \
          Append: \"2ms\"\n  PartMbS: 20.0\n  ReadMbS: 80.0\n  RecordBytes: 262144\n  CallBytes: 2097152\n  \
          keep: \"300s\"\n  PartMb: 200\n  TtlMin: \"1000ms\"\n"
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod large_priority;
 mod net;
+mod revoked_key;
 mod site;
 mod store;
 mod tenant_header;
@@ -58,6 +59,7 @@
         "caller-service" => caller_service::play(&run),
         "large-priority" => large_priority::play(&run),
         "tenant-header" => tenant_header::play(&run),
+        "revoked-key" => revoked_key::play(&run),
         _ => Finding::CannotRun(format!("unknown case {case}")),
     };
     let (code, text) = match finding {
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -27,6 +27,17 @@
 
 /// Starts a deployment with a configuration, and waits until it is ready and calm.
 pub fn start(run: &Run, places: &[Place<'_>], config: &str, work: Duration) -> Result<Site, String> {
+    start_with(run, places, config, work, &[])
+}
+
+/// The same with further bounds in the settings.
+pub fn start_with(
+    run: &Run,
+    places: &[Place<'_>],
+    config: &str,
+    work: Duration,
+    further_bounds: &[&str],
+) -> Result<Site, String> {
     let store = Store::default();
     let store_address = format!("{}.9:8627", run.network).parse().unwrap();
     store.serve(store_address).map_err(|e| format!("store: {e}"))?;
@@ -36,6 +47,7 @@
         store: store_address,
         is_first_start: true,
         grace: "6s",
+        further_bounds,
     };
     let runs = Arc::new(Mutex::new(Vec::new()));
     let (mut machines, mut apps) = (Vec::new(), Vec::new());
