--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 
 mod caller_service;
 mod fleet;
+mod kept_limits;
 mod large_priority;
 mod net;
 mod revoked_key;
@@ -57,6 +58,7 @@
     };
     let finding = match case.as_str() {
         "caller-service" => caller_service::play(&run),
+        "kept-limits" => kept_limits::play(&run),
         "large-priority" => large_priority::play(&run),
         "tenant-header" => tenant_header::play(&run),
         "revoked-key" => revoked_key::play(&run),
