--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,7 +6,7 @@
 lab=target/review-3/lab
 [ -x "$daemon" ] && [ -x "$lab" ] || exit 2
 folder=$(mktemp -d) || exit 2
-"$lab" tenant-header "$daemon" "$folder" "$here/record.txt"
+"$lab" large-priority "$daemon" "$folder" "$here/record.txt"
 code=$?
 rm -rf "$folder"
 exit $code
