--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -213,8 +214,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
@@ -230,7 +235,15 @@
         let log = self.settings.with_extension(format!("{}.log", self.starts));
         let log = File::create(log).expect("log");
         self.starts += 1;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        // The daemon ends with the case, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .env_clear()
             .env("PATH", "/usr/bin:/bin")
             .env("BRONZEHEAD_BOOT", &self.settings)
@@ -282,7 +295,8 @@
     pub store: SocketAddr,
     pub is_first_start: bool,
     pub grace: &'a str,
-    /// Bounds beyond those of all deployments.
+    /// Contracts and bounds beyond those of all deployments.
+    pub further_contracts: &'a [&'a str],
     pub further_bounds: &'a [&'a str],
 }
 
@@ -290,11 +304,12 @@
 pub fn machine(cfg: &SettingsCfg<'_>, name: &str, ip: &str, zone: &str, service: &str) -> Machine {
     let settings = PathBuf::from(cfg.folder).join(format!("{name}.yaml"));
     let SettingsCfg { store, grace, is_first_start, .. } = cfg;
-    let further: String = cfg
-        .further_bounds
-        .iter()
-        .map(|bound| format!("  - \"{bound}\"\n"))
-        .collect();
+    let items = |texts: &[&str]| -> String {
+        let lines = texts.iter().map(|text| format!("  - \"{text}\"\n"));
+        lines.collect()
+    };
+    let contracts = items(cfg.further_contracts);
+    let further = items(cfg.further_bounds);
     let text = format!(
         "Node: \"{name}\"\nRole: \"bronzehead\"\nMachineClass: \"sidecar\"\nServes:\n  - \"sidecar\"\n\
          Ip: \"{ip}\"\nZone: \"{zone}\"\nRegion: \"attiki\"\nZones:\n  attiki-a: \"attiki\"\n  attiki-b: \"attiki\"\n\
@@ -303,7 +318,7 @@
          InTolerance: false\nLimits:\n  CpuShare: 0.2\n  Cores: 1\n  MemoryMb: 110\n  MaxFds: 4100\n  \
          LinkMbps: 1000.0\n  DiskMb: 0\nDataDir: null\nDiscovery: \"local\"\nEntry: \"local\"\n\
          Heartbeat: \"1500ms\"\nContracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"retry\"\n  \
-         - \"recover\"\n  - \"rollout\"\n  - \"platform\"\nTolerate:\n  Machines: 1\n  Zones: 0\n  Regions: 0\n\
+         - \"recover\"\n  - \"rollout\"\n  - \"platform\"\n{contracts}Tolerate:\n  Machines: 1\n  Zones: 0\n  Regions: 0\n\
          Bounds:\n  - \"SeedLag=3s\"\n  - \"ReuseAfter=2s\"\n  - \"StableWindow=3000ms\"\n  - \"Ack=4000ms\"\n  \
          - \"CatchUp=4s\"\n  - \"Drain=2000ms\"\n  - \"Grace={grace}\"\n  - \"LossSlack=200ms\"\n  \
          - \"ConfigApply=2000ms\"\n  - \"RollbackSlack=250ms\"\n  - \"Stretch=5000ms\"\n  - \"RetryRatio=0.2\"\n  \
--- a/review/standins-3/revoked_key.rs
+++ b/review/standins-3/revoked_key.rs
@@ -45,7 +45,7 @@
     let config = fleet::config_with(7, &routes, &tenants(&keys));
     let bounds = ["StrictRevoke=true", "Revoke=5000ms"];
     let work = Duration::from_millis(20);
-    let site = match site::start_with(run, &places, &config, work, &bounds) {
+    let site = match site::start_with(run, &places, &config, work, &["tenants"], &bounds) {
         Ok(site) => site,
         Err(e) => return Finding::CannotRun(e),
     };
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -27,15 +27,16 @@
 
 /// Starts a deployment with a configuration, and waits until it is ready and calm.
 pub fn start(run: &Run, places: &[Place<'_>], config: &str, work: Duration) -> Result<Site, String> {
-    start_with(run, places, config, work, &[])
+    start_with(run, places, config, work, &[], &[])
 }
 
-/// The same with further bounds in the settings.
+/// The same with further contracts and bounds in the settings.
 pub fn start_with(
     run: &Run,
     places: &[Place<'_>],
     config: &str,
     work: Duration,
+    further_contracts: &[&str],
     further_bounds: &[&str],
 ) -> Result<Site, String> {
     let store = Store::default();
@@ -47,6 +48,7 @@
         store: store_address,
         is_first_start: true,
         grace: "6s",
+        further_contracts,
         further_bounds,
     };
     let runs = Arc::new(Mutex::new(Vec::new()));
--- a/review/standins-3/tenant_header.rs
+++ b/review/standins-3/tenant_header.rs
@@ -31,7 +31,9 @@
         priority: 1,
     };
     let config = fleet::config_with(7, &[route], TENANTS);
-    let site = match site::start(run, &places, &config, Duration::from_millis(20)) {
+    let bounds = ["StrictRevoke=true", "Revoke=5000ms"];
+    let work = Duration::from_millis(20);
+    let site = match site::start_with(run, &places, &config, work, &["tenants"], &bounds) {
         Ok(site) => site,
         Err(e) => return Finding::CannotRun(e),
     };
