A read proves no key while the latest configuration is not in force

Cause: each read of the operator's records that reached their end counted as a proof that all of them was in force, whatever had become of the configuration in it. A rejected configuration "counts as known", the design said; it may be the one that takes a key away.

A configuration that is cut in the middle kept the key running as well.

Change: the offset of the latest configuration that was read and what became of it are remembered. While it is not in force, reads prove nothing: later ones without a record, overlapping ones that show an earlier configuration, one that shows it deleted. A log line and a counter say so.

--- a/crates/mesh/src/knowledge.rs
+++ b/crates/mesh/src/knowledge.rs
@@ -6,6 +6,9 @@
 //! question and answer wait in a link or in a frozen process, the proof only becomes older. An age that comes
 //! without a question of one's own proves nothing.
 //!
+//! A read proves nothing while the latest configuration among the records is not in force here, whatever the reason:
+//! it may be the one that takes a key away.
+//!
 //! All times are of the clock that counts suspensions.
 
 use std::collections::BTreeMap;
@@ -13,6 +16,7 @@
 use std::time::Duration;
 
 use base::DaemonId;
+use base::Offset;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -66,6 +70,24 @@
     Expired,
 }
 
+/// What became of a configuration that was read from the operator's records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ConfigFate {
+    /// It is in force, or what is in force is at least as new.
+    InForce,
+    /// It is not in force.
+    Rejected,
+}
+
+/// What a read of the operator's records proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadProof {
+    /// All that the records held is in force here.
+    Counted,
+    /// The configuration at this offset is not in force here.
+    Withheld(Offset),
+}
+
 /// A daemon's proof, its open questions, and the questions of others that it has yet to answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Knowledge {
@@ -76,6 +98,8 @@
     /// Proof that counts once this version of the configuration, or a later one, is in force here.
     pending: Option<(ConfigVersion, BootTime)>,
     received: BTreeMap<DaemonId, QuestionId>,
+    /// Offset of the latest configuration that was read from the operator's records, and what became of it.
+    latest_config: Option<(Offset, ConfigFate)>,
 }
 
 impl Knowledge {
@@ -89,10 +113,27 @@
         }
     }
 
-    /// Records a read of the operator's records that was sent at `sent`, and whose answer showed nothing later than
-    /// what is in force here.
-    pub fn record_read(&mut self, sent: BootTime) {
+    /// Records what became of the configuration at an offset of the operator's records. Reads may overlap; one of an
+    /// earlier offset than is known changes nothing.
+    pub fn record_config(&mut self, offset: Offset, fate: ConfigFate) {
+        if self.latest_config.is_none_or(|(known, _)| known <= offset) {
+            self.latest_config = Some((offset, fate));
+        }
+    }
+
+    /// Forgets what became of configurations, as their offsets no longer name the same records.
+    pub fn offsets_went_back(&mut self) {
+        self.latest_config = None;
+    }
+
+    /// Records a read of the operator's records that was sent at `sent` and showed them to their end. What became of
+    /// the configurations in it must be recorded before.
+    pub fn record_read(&mut self, sent: BootTime) -> ReadProof {
+        if let Some((offset, ConfigFate::Rejected)) = self.latest_config {
+            return ReadProof::Withheld(offset);
+        }
         self.proof = self.proof.max(Some(sent));
+        ReadProof::Counted
     }
 
     /// Returns the number of a question that is sent after `now`.
--- a/crates/mesh/src/tests/knowledge.rs
+++ b/crates/mesh/src/tests/knowledge.rs
@@ -5,9 +5,11 @@
 
 use crate::config::ConfigVersion;
 use crate::knowledge::Answer;
+use crate::knowledge::ConfigFate;
 use crate::knowledge::Knowledge;
 use crate::knowledge::ProofStanding;
 use crate::knowledge::QuestionId;
+use crate::knowledge::ReadProof;
 use crate::wake::BootTime;
 
 /// Time within which the key is revoked, in seconds.
@@ -30,6 +32,8 @@
     AnyConfig,
     /// Each of its processes starts with the same question.
     SameQuestions,
+    /// The leader counts a read whatever became of the configuration in it.
+    AnyRead,
 }
 
 /// A daemon, with a clock that started at another time than the others'.
@@ -79,6 +83,8 @@
     now: u64,
     /// When the store acknowledged the configuration that took the key away.
     revoked_at: Option<u64>,
+    /// Whether no daemon can read that configuration.
+    is_unreadable: bool,
     leader: Daemon,
     follower: Daemon,
     read: Option<Read>,
@@ -93,6 +99,7 @@
 enum Step {
     Tick,
     Revoke,
+    RevokeUnreadably,
     SendRead,
     AnswerRead,
     ReceiveRead,
@@ -106,9 +113,10 @@
     RestartLeader,
 }
 
-const STEPS: [Step; 14] = [
+const STEPS: [Step; 15] = [
     Step::Tick,
     Step::Revoke,
+    Step::RevokeUnreadably,
     Step::SendRead,
     Step::AnswerRead,
     Step::ReceiveRead,
@@ -128,6 +136,7 @@
         Self {
             now: 0,
             revoked_at: None,
+            is_unreadable: false,
             leader: Daemon::new(50, 500),
             follower: Daemon::new(900, 100),
             read: None,
@@ -149,6 +158,10 @@
         match (step, self.read) {
             (Step::Tick, _) if self.now < END => world.now += 1,
             (Step::Revoke, _) if self.revoked_at.is_none() => world.revoked_at = Some(self.now),
+            (Step::RevokeUnreadably, _) if self.revoked_at.is_none() => {
+                world.revoked_at = Some(self.now);
+                world.is_unreadable = true;
+            }
             (Step::SendRead, None) if self.reads_left > 0 => {
                 world.reads_left -= 1;
                 world.read = Some(Read::Sent(self.now));
@@ -158,9 +171,7 @@
             }
             (Step::ReceiveRead, Some(Read::Answered(sent, config))) => {
                 world.read = None;
-                world.leader.adopt(config);
-                let sent = world.leader.clock(sent);
-                world.leader.knowledge.record_read(sent);
+                world.receive_read(sent, config, trust);
             }
             (Step::LoseRead, Some(_)) => world.read = None,
             (Step::Ask, _) if self.questions_left > 0 => {
@@ -209,10 +220,25 @@
         Some(world)
     }
 
+    fn receive_read(&mut self, sent: u64, config: ConfigVersion, trust: Trust) {
+        let leader = &mut self.leader;
+        let fate = if self.is_unreadable && config > HOLDS_KEY {
+            ConfigFate::Rejected
+        } else {
+            leader.adopt(config);
+            ConfigFate::InForce
+        };
+        if trust != Trust::AnyRead {
+            leader.knowledge.record_config(config, fate);
+        }
+        let sent = leader.clock(sent);
+        leader.knowledge.record_read(sent);
+    }
+
     fn receive(&mut self, answer: Answer, trust: Trust) {
         let follower = &mut self.follower;
         match trust {
-            Trust::OwnQuestion | Trust::SameQuestions => {
+            Trust::OwnQuestion | Trust::SameQuestions | Trust::AnyRead => {
                 follower.knowledge.record_answer(answer, follower.config);
             }
             Trust::TimeOfArrival => {
@@ -274,7 +300,12 @@
 /// The model would find what the proofs are there to prevent.
 #[test]
 fn weaker_proofs_are_found_to_let_late_requests_run() {
-    for trust in [Trust::TimeOfArrival, Trust::AnyConfig, Trust::SameQuestions] {
+    for trust in [
+        Trust::TimeOfArrival,
+        Trust::AnyConfig,
+        Trust::SameQuestions,
+        Trust::AnyRead,
+    ] {
         assert!(explore(trust).broken.is_some(), "{trust:?}");
     }
 }
@@ -346,3 +377,27 @@
     knowledge.record_answer(answer(second, 1), 8);
     assert_eq!(knowledge.age(at(12)), Some(at(3)));
 }
+
+/// Guards against a read that proves a key although the configuration that takes it away is not in force.
+#[test]
+fn a_read_proves_nothing_while_the_latest_configuration_is_rejected() {
+    let mut knowledge = Knowledge::new(1);
+    let at = Duration::from_secs;
+    knowledge.record_config(3, ConfigFate::InForce);
+    assert_eq!(knowledge.record_read(at(10)), ReadProof::Counted);
+    knowledge.record_config(5, ConfigFate::Rejected);
+    assert_eq!(knowledge.record_read(at(12)), ReadProof::Withheld(5));
+    // Later reads show no record, and an overlapping one shows the earlier configuration only.
+    assert_eq!(knowledge.record_read(at(13)), ReadProof::Withheld(5));
+    knowledge.record_config(3, ConfigFate::InForce);
+    assert_eq!(knowledge.record_read(at(14)), ReadProof::Withheld(5));
+    assert_eq!(knowledge.age(at(14)), Some(at(4)));
+    knowledge.record_config(6, ConfigFate::InForce);
+    assert_eq!(knowledge.record_read(at(15)), ReadProof::Counted);
+    assert_eq!(knowledge.age(at(15)), Some(at(0)));
+    // In another era of the store the offsets begin anew.
+    knowledge.record_config(7, ConfigFate::Rejected);
+    knowledge.offsets_went_back();
+    knowledge.record_config(1, ConfigFate::InForce);
+    assert_eq!(knowledge.record_read(at(16)), ReadProof::Counted);
+}
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -100,6 +100,13 @@
         &["customer", "outcome"],
         "Requests of customers with a usage cap, by decision; customers beyond the 16 with the largest caps count as `others`",
     ),
+    metric(
+        "bronzehead_configs_rejected_total",
+        MetricKind::Counter,
+        "configurations",
+        &[],
+        "Configurations that were read and did not come into force for another reason than their age",
+    ),
     metric(
         "bronzehead_control_bytes_total",
         MetricKind::Counter,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -200,6 +200,7 @@
     added_time: Histogram<f64>,
     attempts_not_run: Counter<u64>,
     unknown_kinds: Counter<u64>,
+    configs_rejected: Counter<u64>,
     control_bytes: Counter<u64>,
     log_requests: Counter<u64>,
     convergence: Histogram<f64>,
@@ -249,6 +250,7 @@
             added_time: seconds_histogram(&meter, "bronzehead_call_added", &ADDED_BOUNDS_SECONDS),
             attempts_not_run: counter(&meter, "bronzehead_attempts_not_run", ""),
             unknown_kinds: counter(&meter, "bronzehead_route_kinds_unknown", ""),
+            configs_rejected: counter(&meter, "bronzehead_configs_rejected", ""),
             control_bytes: counter(&meter, "bronzehead_control", "By"),
             log_requests: counter(&meter, "bronzehead_log_requests", ""),
             convergence: seconds_histogram(
@@ -322,6 +324,11 @@
         self.unknown_kinds.add(1, &[]);
     }
 
+    /// Counts a configuration that did not come into force though it is not older than the one that is.
+    pub fn record_config_rejected(&self) {
+        self.configs_rejected.add(1, &[]);
+    }
+
     /// Counts bytes of control-plane traffic.
     pub fn record_control_bytes(&self, purpose: Purpose, direction: Direction, bytes: u64) {
         let purpose = static_label("purpose", purpose.label());
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -24,6 +24,7 @@
     metrics.record_customer_call("gowns", CallOutcome::Answered);
     metrics.record_added_latency(&service, Duration::from_micros(300));
     metrics.record_unknown_kind();
+    metrics.record_config_rejected();
     metrics.record_not_run("overloaded");
     metrics.record_control_bytes(Purpose::Feed, Direction::Sent, 120);
     metrics.record_log_request(LogRequest::Append);
--- a/crates/sidecar/src/knowledge.rs
+++ b/crates/sidecar/src/knowledge.rs
@@ -13,6 +13,7 @@
 use mesh::knowledge::KnowledgeNote;
 use mesh::knowledge::ProofStanding;
 use mesh::knowledge::QuestionId;
+use mesh::knowledge::ReadProof;
 use mesh::wake::BootTime;
 use mesh::wire::Gossip;
 use mesh::wire::MemberLoad;
@@ -90,10 +91,20 @@
         })
     }
 
-    /// Records that a read of the operator's records that was sent at `sent` showed nothing later than what is in
-    /// force here.
+    /// Records a read of the operator's records that was sent at `sent` and showed them to their end, after their
+    /// configuration was applied.
     pub fn record_operator_read(&self, sent: BootTime) {
-        self.knowledge.borrow_mut().record_read(sent);
+        let proof = self.knowledge.borrow_mut().record_read(sent);
+        let withheld = match proof {
+            ReadProof::Counted => None,
+            ReadProof::Withheld(offset) => Some(offset),
+        };
+        if self.withheld_proof.replace(withheld) != withheld {
+            self.log_state("key-proof-withheld", || {
+                let age = self.proof_age();
+                json!({ "offset": withheld, "age_ms": age.map(|age| age.as_millis()) })
+            });
+        }
     }
 
     /// Adds a question to a message.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,6 +10,7 @@
 use base::DaemonId;
 use base::FastMap;
 use base::Incarnation;
+use base::Offset;
 use base::ServiceName;
 use bytes::Bytes;
 use http_edge::DatagramSocket;
@@ -33,6 +34,7 @@
 use mesh::election::Role;
 use mesh::election::strength;
 use mesh::evacuation::Evacuations;
+use mesh::knowledge::ConfigFate;
 use mesh::knowledge::Knowledge;
 use mesh::link::Direction;
 use mesh::link::LinkMeter;
@@ -103,6 +105,8 @@
     pub read_requests: ReadRequests,
     /// Age of what this daemon knows of the operator's records.
     pub knowledge: RefCell<Knowledge>,
+    /// Offset of the operator's configuration that is not in force here, for which reads prove nothing.
+    pub withheld_proof: Cell<Option<Offset>>,
     /// Address of a peer with members that this daemon lacks.
     pub members_source: Cell<Option<SocketAddr>>,
     pub election: RefCell<LeaderElection>,
@@ -188,6 +192,7 @@
             rejected_config: Cell::new(0),
             read_requests: ReadRequests::default(),
             knowledge: RefCell::new(Knowledge::new(rand::random())),
+            withheld_proof: Cell::new(None),
             members_source: Cell::new(None),
             election: RefCell::new(LeaderElection::new(
                 boot.daemon.clone(),
@@ -322,25 +327,32 @@
 
     /// Adopts a serialized configuration if it is newer. `source` names its origin in the log;
     /// `compress` returns the compressed form for peers.
-    pub fn adopt_config(&self, bytes: &Bytes, source: &str, compress: impl FnOnce() -> Bytes) {
+    pub fn adopt_config(
+        &self,
+        bytes: &Bytes,
+        source: &str,
+        compress: impl FnOnce() -> Bytes,
+    ) -> ConfigFate {
         let cfg = match operator::decode_config(bytes) {
             Ok(cfg) => cfg,
             Err(e) => {
+                self.metrics.record_config_rejected();
                 self.log_state(
                     "config-unreadable",
                     || json!({ "source": source, "reason": e }),
                 );
-                return;
+                return ConfigFate::Rejected;
             }
         };
         if self.lacks_customers(&cfg) {
             self.rejected_config.set(cfg.version);
+            self.metrics.record_config_rejected();
             let reason = "the customers of the configuration in force are missing";
             self.log_state(
                 "config-unreadable",
                 || json!({ "source": source, "version": cfg.version, "reason": reason }),
             );
-            return;
+            return ConfigFate::Rejected;
         }
         let before = self.active_table.borrow().version();
         if self.active_table.borrow_mut().adopt(&cfg) == Adoption::Adopted {
@@ -383,6 +395,7 @@
                 );
             }
         }
+        ConfigFate::InForce
     }
 
     /// Returns whether this daemon is a leader of its zone and reads the store for it.
--- a/crates/sidecar/src/peer_sync.rs
+++ b/crates/sidecar/src/peer_sync.rs
@@ -43,7 +43,10 @@
     let compressed = node.fetch(from, CONFIG_PATH).await;
     if let Some(compressed) = compressed.filter(|bytes| !bytes.is_empty()) {
         match compression::decompress_config(&compressed) {
-            Ok(bytes) => node.adopt_config(&bytes, "daemon", || compressed),
+            Ok(bytes) => {
+                // Only what the store holds tells whether something is missing here.
+                let _ = node.adopt_config(&bytes, "daemon", || compressed);
+            }
             Err(e) => node.log_state(
                 "config-unreadable",
                 || json!({ "source": "daemon", "from": from, "reason": e.to_string() }),
--- a/crates/sidecar/src/store_sync.rs
+++ b/crates/sidecar/src/store_sync.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use mesh::directory::Merge;
 use mesh::election::strength;
+use mesh::knowledge::ConfigFate;
 use mesh::knowledge::ProofStanding;
 use mesh::wire::Record;
 use platform::Backoff;
@@ -283,6 +284,7 @@
                 local.departures_mut().forget_stored();
             }
             Topic::Operator => {
+                self.knowledge.borrow_mut().offsets_went_back();
                 self.moves.borrow_mut().offsets_went_back();
                 self.evacuations.borrow_mut().offsets_went_back();
             }
@@ -383,6 +385,9 @@
 
     fn apply_record(&self, topic: Topic, record: KeyedRecord) {
         let Some(value) = record.value else {
+            if topic == Topic::Operator && operator::is_config(&record.key) {
+                self.record_config_fate(record.offset, ConfigFate::Rejected);
+            }
             return;
         };
         match topic {
@@ -395,7 +400,8 @@
     fn apply_operator_record(&self, key: &str, value: &Bytes, offset: Offset) {
         match operator::decode(key, value, offset) {
             Ok(OperatorRecord::Config) => {
-                self.adopt_config(value, "store", || self.config_for_peers(value));
+                let fate = self.adopt_config(value, "store", || self.config_for_peers(value));
+                self.record_config_fate(offset, fate);
             }
             Ok(OperatorRecord::Order(order)) => self.begin_move(order),
             // Zones to be emptied are told by all records of a read together.
@@ -409,6 +415,10 @@
         }
     }
 
+    fn record_config_fate(&self, offset: Offset, fate: ConfigFate) {
+        self.knowledge.borrow_mut().record_config(offset, fate);
+    }
+
     /// Returns a configuration in the form that daemons send to each other; empty if it has none.
     fn config_for_peers(&self, value: &Bytes) -> Bytes {
         match operator::without_keys(value) {
--- a/crates/sidecar/tests/end_to_end/customers.rs
+++ b/crates/sidecar/tests/end_to_end/customers.rs
@@ -15,6 +15,7 @@
 use crate::common::STORE;
 use crate::common::TIMEOUT;
 use crate::fleet::Machine;
+use crate::fleet::append;
 use crate::fleet::boot;
 use crate::fleet::ip;
 use crate::fleet::machine;
@@ -234,3 +235,45 @@
         (front, back)
     });
 }
+
+/// Guards against a revoked key that goes on running because the configuration that takes it away cannot be read.
+#[test]
+fn no_key_outlives_a_configuration_that_cannot_be_read() {
+    with_fleet_that_revokes(75, REVOKE, |store, front, back| async move {
+        put_customers(
+            &store,
+            5,
+            r#"{"gowns":{"ApiKeys":["secret-1","secret-2"]}}"#,
+        );
+        wait_for_config(&[&front, &back], 5).await;
+        for machine in [&front, &back] {
+            wait_for_status(machine, "/look/0", "secret-1", StatusCode::OK).await;
+        }
+        append(&store, "keyed.op", "config", br#"{"Version":"r7","Rout"#);
+        let acknowledged = Instant::now();
+        let expected = StatusCode::SERVICE_UNAVAILABLE;
+        for machine in [&front, &back] {
+            wait_for_status(machine, "/look/0", "secret-1", expected).await;
+        }
+        assert!(acknowledged.elapsed() < REVOKE, "{acknowledged:?}");
+        let ran = back.request_ids().len();
+        while acknowledged.elapsed() < REVOKE * 2 {
+            for machine in [&front, &back] {
+                let late = status(machine, "/look/1", "id-1", "secret-1").await;
+                assert_eq!(late, expected, "after {:?}", acknowledged.elapsed());
+            }
+            monoio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(back.request_ids().len(), ran);
+        let public = status(&front, "/open/1", "id-2", "secret-1").await;
+        assert_eq!(public, StatusCode::OK);
+        put_customers(&store, 9, r#"{"gowns":{"ApiKeys":["secret-2"]}}"#);
+        for machine in [&front, &back] {
+            let took = wait_for_status(machine, "/look/0", "secret-2", StatusCode::OK).await;
+            assert!(took < Duration::from_secs(2), "{took:?}");
+        }
+        let gone = status(&front, "/look/1", "id-3", "secret-1").await;
+        assert_eq!(gone, StatusCode::UNAUTHORIZED);
+        (front, back)
+    });
+}
