Weights of a route's targets may be any number

Cause: a weight was read as a whole number of 32 bits.

Change: a weight is a floating-point number up to 1e300, so that the sum of any number of them is finite; the pick draws from the interval from 0 to the sum.

The shares of 1000 even draws are those of the weights, exactly.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -88,13 +88,16 @@
     pub is_public: bool,
 }
 
+/// Largest weight of a target; the weights of any number of targets have a finite sum.
+pub const MAX_WEIGHT: f64 = 1e300;
+
 /// A service and its share of a route's requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WeightedTarget {
     /// Service that gets the share.
     pub service: ServiceName,
-    /// Weight relative to the other targets of the route; may be 0.
-    pub weight: u32,
+    /// Weight relative to the other targets of the route, from 0 to [`MAX_WEIGHT`].
+    pub weight: f64,
 }
 
 impl Route {
@@ -102,19 +105,27 @@
     /// all weights are zero.
     #[must_use]
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
-        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
-        let mut remaining = random.checked_rem(total)?;
-        for target in &self.targets {
-            let weight = u64::from(target.weight);
-            if remaining < weight {
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut remaining = unit_interval(random) * total;
+        let mut last = None;
+        for target in self.targets.iter().filter(|target| target.weight > 0.0) {
+            if remaining < target.weight {
                 return Some(&target.service);
             }
-            remaining -= weight;
+            remaining -= target.weight;
+            last = Some(&target.service);
         }
-        None
+        // Rounding may leave a rest beyond the last target.
+        last
     }
 }
 
+/// Maps a uniformly distributed number to the interval from 0 to 1, which is excluded.
+#[allow(clippy::cast_precision_loss)]
+fn unit_interval(random: u64) -> f64 {
+    (random >> (u64::BITS - f64::MANTISSA_DIGITS)) as f64 / (1_u64 << f64::MANTISSA_DIGITS) as f64
+}
+
 /// Limits on requests and connections of clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientLimits {
--- a/crates/mesh/src/config_check/lint.rs
+++ b/crates/mesh/src/config_check/lint.rs
@@ -81,7 +81,7 @@
         found.push(contradiction(place(), reason));
     }
     for target in &route.targets {
-        if target.weight == 0 {
+        if target.weight <= 0.0 {
             let reason = format!(
                 "the target {} has weight 0 and gets no request",
                 target.service
@@ -118,7 +118,7 @@
 fn check_services(cfg: &Config, found: &mut Vec<Finding>) {
     let targets = cfg.routes.iter().flat_map(|route| &route.targets);
     let used: BTreeSet<&SmolStr> = targets
-        .filter(|target| target.weight > 0)
+        .filter(|target| target.weight > 0.0)
         .map(|target| &target.service)
         .collect();
     for (name, service) in &cfg.services {
--- a/crates/mesh/src/tests/config_check.rs
+++ b/crates/mesh/src/tests/config_check.rs
@@ -35,7 +35,7 @@
         rank: 1,
         targets: vec![WeightedTarget {
             service: "bookings".into(),
-            weight: 1,
+            weight: 1.0,
         }],
         is_public: false,
     }
@@ -122,7 +122,7 @@
         |cfg| {
             cfg.routes[0].targets.push(WeightedTarget {
                 service: "other".into(),
-                weight: 0,
+                weight: 0.0,
             });
         },
         &look(),
--- a/crates/mesh/src/tests/table.rs
+++ b/crates/mesh/src/tests/table.rs
@@ -7,6 +7,7 @@
 use crate::config::ClientLimits;
 use crate::config::Config;
 use crate::config::ConfigVersion;
+use crate::config::MAX_WEIGHT;
 use crate::config::Route;
 use crate::config::Service;
 use crate::config::WeightedTarget;
@@ -27,11 +28,11 @@
         targets: vec![
             WeightedTarget {
                 service: "old".into(),
-                weight: 90,
+                weight: 90.0,
             },
             WeightedTarget {
                 service: "new".into(),
-                weight: 10,
+                weight: 10.0,
             },
         ],
         is_public: false,
@@ -70,17 +71,52 @@
     check("other.example", "/gowns/7", None);
 }
 
+/// Number of evenly spread picks.
+const PICKS: u64 = 1000;
+
+/// Returns how many of [`PICKS`] requests each target of a route with these weights gets.
+fn picks(weights: &[f64]) -> Vec<usize> {
+    let service = |index: usize| format!("s{index}");
+    let targets = weights
+        .iter()
+        .enumerate()
+        .map(|(index, weight)| WeightedTarget {
+            service: service(index).into(),
+            weight: *weight,
+        });
+    let route = Route {
+        targets: targets.collect(),
+        ..route("all", "/")
+    };
+    let step = u64::MAX / PICKS;
+    let picked: Vec<_> = (0..PICKS)
+        .filter_map(|pick| route.pick_service(pick * step + step / 2))
+        .collect();
+    let count = |index| {
+        picked
+            .iter()
+            .filter(|name| name.as_str() == service(index))
+            .count()
+    };
+    (0..weights.len()).map(count).collect()
+}
+
 #[test]
 fn requests_are_shared_by_weight() {
-    let route = route("all", "/");
-    let new = (0..1000)
-        .filter(|random| {
-            route
-                .pick_service(*random)
-                .is_some_and(|service| service == "new")
-        })
-        .count();
-    assert_eq!(new, 100);
+    assert_eq!(picks(&[90.0, 10.0]), [900, 100]);
+    assert_eq!(picks(&[0.0, 3.0, 0.0]), [0, 1000, 0]);
+    assert_eq!(picks(&[0.0, 0.0]), [0, 0]);
+    assert_eq!(picks(&[]), [0; 0]);
+}
+
+/// Guards against shares that are lost because weights are no whole numbers, or very large or small.
+#[test]
+fn weights_of_any_size_share_requests_in_proportion() {
+    assert_eq!(picks(&[99.5, 0.5]), [995, 5]);
+    assert_eq!(picks(&[0.3, 0.1]), [750, 250]);
+    assert_eq!(picks(&[3e-300, 1e-300]), [750, 250]);
+    assert_eq!(picks(&[3e200, 1e200]), [750, 250]);
+    assert_eq!(picks(&[MAX_WEIGHT; 4]), [250; 4]);
 }
 
 #[test]
