One value of a configuration no longer keeps the rest out of force

Daemons that start later have no configuration at all.

Cause: the configuration was decoded as one document of fixed types, so that one value that did not fit made the decoder give up on the whole; dangling, malformed and ambiguous entries did the same. The types were those of the product: a rank of 8 bits.

Evidence: the three daemons log `config-unreadable`, "invalid value: integer `300`, expected u8". The former decoder also refused a priority of 3.0 or null, a limit of 16384.0, attempts of 2.0, a weight of 1e999, a missing kind, a target latency of null and a target that is not defined. A wider type alone would have mended the case.

Change: each value is read by itself, numbers of any size and spelling. What cannot be read is left out, logged, counted and shown by `explain`; the rest is in force. Priorities are ranked in their order. What is left out is not guessed: requests of a route, target or key that cannot be read get 503 at once and run nowhere. Daemons send each other what is odd as it is, but keys. `config check` names each value that would be left out. The adoption of a configuration and requests without a route have modules of their own; the labels of metrics have a file.

Replaced checks: an_invalid_configuration_is_rejected and malformed_customers_are_rejected_without_naming_a_key asked that each malformed value reject the whole, and a part of a_request_without_a_known_key_does_not_run that a key go on running after configurations that do not list it. They held the fault in place. The new ones go through the same values and more, and ask for each that all others are in force, that nothing runs which the configuration does not name, and that no key is shown.

Measured: a_configuration_with_a_large_priority_is_in_force_in_time and what_can_be_read_of_a_configuration_is_in_force_beside_what_cannot failed before the change and pass.

--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -33,7 +33,8 @@
 `bronzehead ticket check`.
 
 Exit codes: 0 nothing found, differences alone included; 1 entries that never match or contradict each other,
-or the store does not answer; 2 the daemons would reject the configuration, or the input cannot be read.";
+or the store does not answer; 2 the daemons would reject the configuration or leave out some of it, or the input cannot be
+read.";
 
 /// Defines the subcommand and its arguments.
 pub fn command() -> Command {
@@ -78,7 +79,7 @@
     let Some(("check", matches)) = matches.subcommand() else {
         unreachable!("clap requires a known subcommand")
     };
-    let new = input::read_config(input::required_path(matches, FILE))?;
+    let new = input::read_new_config(input::required_path(matches, FILE))?;
     let sent = match input::optional_path(matches, SENT) {
         Some(path) => input::read_rates(path)?,
         None => mesh::config_check::SentRates::default(),
--- a/cli/src/config/input.rs
+++ b/cli/src/config/input.rs
@@ -49,6 +49,20 @@
     operator::decode_config(&bytes).map_err(|e| file_error(path, e))
 }
 
+/// Reads a configuration that is to be sent, in which the daemons must be able to read each value.
+///
+/// # Errors
+/// Fails like [`read_config`], and when the daemons would leave out something; the message names each such value.
+pub fn read_new_config(path: &Path) -> Result<Config, CliError> {
+    let cfg = read_config(path)?;
+    let values = &cfg.unreadable.values;
+    if values.is_empty() {
+        return Ok(cfg);
+    }
+    let values: Vec<String> = values.iter().map(ToString::to_string).collect();
+    Err(file_error(path, values.join("; ")))
+}
+
 /// Reads the configuration in force from the store; `None` if it holds none.
 ///
 /// # Errors
--- a/cli/src/explain/timeline.rs
+++ b/cli/src/explain/timeline.rs
@@ -16,13 +16,17 @@
 const CONTEXT_MS: u64 = 3000;
 
 /// Events in which a daemon's view of the system changes, which explain how it handled a request.
-const CONTEXT_EVENTS: [&str; 12] = [
+const CONTEXT_EVENTS: [&str; 16] = [
     "config-adopted",
+    "config-unreadable",
+    "config-values-unreadable",
     "daemon-silent",
     "instance-changed",
     "instance-fails",
     "instance-left",
     "instance-unreachable",
+    "key-proof",
+    "key-proof-withheld",
     "log-lines-left-out",
     "move-decided",
     "started",
@@ -32,7 +36,7 @@
 ];
 
 /// Events that end a request at the daemon that received it from the client.
-const END_EVENTS: [&str; 9] = [
+const END_EVENTS: [&str; 10] = [
     "answered",
     "refused",
     "key-refused",
@@ -40,6 +44,7 @@
     "timed-out",
     "client-left",
     "no-route",
+    "route-unreadable",
     "no-configuration",
     "request-unreadable",
 ];
@@ -189,13 +194,19 @@
             end.display_field("path"),
             end.display_field("config"),
         ),
+        "route-unreadable" => format!(
+            "refused without being run: configuration {} holds a route or target for {}{} that cannot be read",
+            end.display_field("config"),
+            end.display_field("host"),
+            end.display_field("path"),
+        ),
         other => other.to_owned(),
     };
     format!("{outcome}{cause_text}{call_text}")
 }
 
-/// Builds the timeline of a configuration: when each daemon adopted it or a later one, and from
-/// which source.
+/// Builds the timeline of a configuration: when each daemon adopted it or a later one, from which source, what
+/// of it could not be read, and which daemons rejected a configuration that states no version.
 pub fn config_timeline(mut lines: Vec<LogLine>, version: u64) -> Timeline {
     lines.sort_by_key(|line| line.at_ms);
     // A daemon that adopts a later configuration directly skips this one, and counts as reached.
@@ -215,6 +226,13 @@
                 .or_insert_with(|| line.clone());
         }
     }
+    let is_unreadable = |line: &&LogLine| match line.event.as_str() {
+        // The version of such a one is not known; it may be this one unless a daemon has this one.
+        "config-unreadable" => !is_known,
+        "config-values-unreadable" => line.u64_field("version") == Some(version),
+        _ => false,
+    };
+    let unreadable: Vec<LogLine> = lines.iter().filter(is_unreadable).cloned().collect();
     let mut lines: Vec<LogLine> = reached.into_values().collect();
     lines.sort_by_key(|line| line.at_ms);
     let end = match (lines.first(), lines.last()) {
@@ -226,9 +244,27 @@
         (Some(_), _) => "no daemon adopted this one; a later one came first".to_owned(),
         (None, _) => "no daemon adopted it or a later one".to_owned(),
     };
+    let end = end + &describe_unreadable(&unreadable);
+    lines.extend(unreadable);
+    lines.sort_by_key(|line| line.at_ms);
     Timeline { lines, end }
 }
 
+/// Describes what of a configuration, or of any whose version is not known, could not be read.
+fn describe_unreadable(lines: &[LogLine]) -> String {
+    let values = lines.iter().filter_map(|line| line.u64_field("count"));
+    let values = values.max().map_or_else(String::new, |count| {
+        format!("; {count} of its values cannot be read")
+    });
+    let rejected = lines
+        .iter()
+        .filter(|line| line.event == "config-unreadable");
+    match rejected.count() {
+        0 => values,
+        count => format!("{values}; {count} times a configuration could not be read at all"),
+    }
+}
+
 /// Builds the timeline of a service's rollouts: the decisions, and when each daemon learned them.
 pub fn rollout_timeline(mut lines: Vec<LogLine>, service: &str) -> Timeline {
     lines.sort_by_key(|line| line.at_ms);
--- a/cli/src/tests.rs
+++ b/cli/src/tests.rs
@@ -121,6 +121,34 @@
     assert!(crate::explain::config_timeline(lines(text), 8).is_empty());
 }
 
+#[test]
+fn a_configuration_timeline_tells_what_could_not_be_read() {
+    let text = r#"
+a {"at_ms":10,"event":"config-adopted","version":4,"before":0,"source":"store"}
+a {"at_ms":11,"event":"config-values-unreadable","version":4,"count":2,"values":["route one: Kind is malformed"]}
+b {"at_ms":12,"event":"config-values-unreadable","version":5,"count":7}
+a {"at_ms":20,"event":"config-unreadable","source":"store","reason":"version is not of the form r<number>"}
+"#;
+    let timeline = crate::explain::config_timeline(lines(text), 4).to_string();
+    assert!(
+        timeline.ends_with("; 2 of its values cannot be read"),
+        "{timeline}"
+    );
+    assert!(timeline.contains("Kind is malformed"), "{timeline}");
+    assert_eq!(timeline.lines().count(), 3, "{timeline}");
+    let timeline = crate::explain::config_timeline(lines(text), 6).to_string();
+    assert!(
+        timeline.ends_with("later one; 1 times a configuration could not be read at all"),
+        "{timeline}"
+    );
+    let text = r#"a {"at_ms":9,"event":"route-unreadable","request":"r1","host":"h","path":"/x/","config":4}"#;
+    let timeline = crate::explain::request_timeline(lines(text), "r1").to_string();
+    assert!(
+        timeline.ends_with("configuration 4 holds a route or target for h/x/ that cannot be read"),
+        "{timeline}"
+    );
+}
+
 #[test]
 fn a_rollout_timeline_ends_with_the_last_decision() {
     let text = r#"
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -1,5 +1,6 @@
 //! One version of the mesh configuration: routes, services and client limits.
 
+use std::fmt;
 use std::time::Duration;
 
 use base::FastMap;
@@ -19,6 +20,9 @@
 /// Priority of a route under load; 0 is the most urgent.
 pub type Rank = u8;
 
+/// Number of ranks of routes, and of customers.
+pub const RANKS: Rank = 16;
+
 /// A complete configuration at one version.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Config {
@@ -34,6 +38,83 @@
     pub limits: ClientLimits,
     /// Kinds of request that this release does not know, each once.
     pub unknown_kinds: Vec<UnknownKind>,
+    /// What could not be read.
+    pub unreadable: Unreadable,
+}
+
+/// An entry of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// A route, by name.
+    Route(SmolStr),
+    /// A service, by name.
+    Service(SmolStr),
+    /// A customer, by name.
+    Customer(SmolStr),
+    /// The limits on clients.
+    Limits,
+    /// A table of entries that is missing or no table.
+    Table(&'static str),
+}
+
+impl Place {
+    /// Returns the kind of entry, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Route(_) => "route",
+            Self::Service(_) => "service",
+            Self::Customer(_) => "customer",
+            Self::Limits => "limits",
+            Self::Table(_) => "table",
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Route(name) => write!(f, "route {name}"),
+            Self::Service(name) => write!(f, "service {name}"),
+            Self::Customer(name) => write!(f, "customer {name}"),
+            Self::Limits => f.write_str("limits"),
+            Self::Table(name) => write!(f, "table {name}"),
+        }
+    }
+}
+
+/// What of a configuration could not be read. The rest is in force without it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Each value that could not be read or contradicts others, with the reason; no reason quotes a key.
+    pub values: Vec<UnreadableValue>,
+    /// Whether there may be routes that are not listed. A request that matches no route may belong to one of them.
+    pub hides_routes: bool,
+    /// Whether customers may hold keys that are not listed.
+    pub hides_keys: bool,
+}
+
+impl Unreadable {
+    /// Records a value that could not be read.
+    pub fn push(&mut self, place: Place, reason: impl Into<String>) {
+        let reason = reason.into();
+        self.values.push(UnreadableValue { place, reason });
+    }
+}
+
+/// A value of a configuration that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableValue {
+    /// Entry that has the value.
+    pub place: Place,
+    /// Reason, for people.
+    pub reason: String,
+}
+
+impl fmt::Display for UnreadableValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.reason)
+    }
 }
 
 /// A service that routes may target.
@@ -82,8 +163,10 @@
     pub target_latency: Duration,
     /// Priority under load.
     pub rank: Rank,
-    /// Services that share its requests by weight; never empty.
+    /// Services that share its requests by weight.
     pub targets: Vec<WeightedTarget>,
+    /// Weight of the targets that cannot be used; their share of the requests is refused as not run.
+    pub unusable_weight: f64,
     /// Whether its requests need no key of a customer.
     pub is_public: bool,
 }
@@ -101,12 +184,15 @@
 }
 
 impl Route {
-    /// Picks the service for a request by weight; `random` is uniformly distributed. `None` when
-    /// all weights are zero.
+    /// Picks the service for a request by weight; `random` is uniformly distributed. `None` for the share of targets
+    /// that cannot be used, and when all weights are zero.
     #[must_use]
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
-        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = unit_interval(random) * total;
+        let usable: f64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut remaining = unit_interval(random) * (usable + self.unusable_weight);
+        if self.unusable_weight > 0.0 && remaining >= usable {
+            return None;
+        }
         let mut last = None;
         for target in self.targets.iter().filter(|target| target.weight > 0.0) {
             if remaining < target.weight {
@@ -127,6 +213,8 @@
 }
 
 /// Limits on requests and connections of clients.
+///
+/// The default ones are for a configuration whose own cannot be read. They are the strictest that deployments have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientLimits {
     /// Largest request head, in bytes.
@@ -138,3 +226,14 @@
     /// How long a connection without a request is kept open.
     pub keep_alive_timeout: Duration,
 }
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            max_head: 16 * 1024,
+            max_body: 64 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            keep_alive_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- a/crates/mesh/src/customers.rs
+++ b/crates/mesh/src/customers.rs
@@ -13,6 +13,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::caps::Cap;
+use crate::config::RANKS;
 use crate::config::Rank;
 
 /// Name of a customer, unique within a configuration.
@@ -66,42 +67,44 @@
     }
 }
 
-/// Why the customers of a configuration cannot be used. It names no key.
+/// A customer that holds the same key as another one, so that the key does not tell whose a request is.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CustomersError {
-    /// Two customers hold the same key.
-    SharedKey(CustomerName, CustomerName),
+pub struct SharedKey {
+    /// Name of the customer.
+    pub customer: CustomerName,
+    /// Name of the other one.
+    pub other: CustomerName,
 }
 
-impl fmt::Display for CustomersError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::SharedKey(one, other) => {
-                write!(f, "customers {one} and {other} hold the same key")
+/// Takes the keys that several customers hold from all of them. Returns each pair of holders once by the name of
+/// either.
+pub fn take_shared_keys<'a>(customers: impl Iterator<Item = &'a mut Customer>) -> Vec<SharedKey> {
+    let mut customers: Vec<&mut Customer> = customers.collect();
+    let mut holders: FastMap<KeyId, Vec<CustomerName>> = FastMap::default();
+    for customer in &customers {
+        for key in &customer.keys {
+            let holders = holders.entry(key.id()).or_default();
+            if !holders.contains(&customer.name) {
+                holders.push(customer.name.clone());
             }
         }
     }
-}
-
-impl std::error::Error for CustomersError {}
-
-/// Checks that no two customers hold the same key.
-///
-/// # Errors
-/// When two do; names both.
-pub fn check(customers: &[Customer]) -> Result<(), CustomersError> {
-    let mut holders: FastMap<KeyId, &CustomerName> = FastMap::default();
-    for customer in customers {
-        for key in &customer.keys {
-            if let Some(holder) = holders.insert(key.id(), &customer.name)
-                && *holder != customer.name
-            {
-                let (one, other) = (holder.min(&customer.name), holder.max(&customer.name));
-                return Err(CustomersError::SharedKey(one.clone(), other.clone()));
+    let is_shared = |key: &KeyHash| holders[&key.id()].len() > 1;
+    let mut shared = Vec::new();
+    for customer in &mut customers {
+        let keys = customer.keys.iter().filter(|key| is_shared(key));
+        for other in keys.flat_map(|key| &holders[&key.id()]) {
+            let pair = SharedKey {
+                customer: customer.name.clone(),
+                other: other.clone(),
+            };
+            if pair.customer != pair.other && !shared.contains(&pair) {
+                shared.push(pair);
             }
         }
+        customer.keys.retain(|key| !is_shared(key));
     }
-    Ok(())
+    shared
 }
 
 /// The customers of one configuration, indexed by their keys.
@@ -180,16 +183,13 @@
     }
 }
 
-/// Ranks of routes among requests of customers of one rank; later ones count as the last.
-const ROUTE_RANKS: Rank = 16;
-
 /// Returns the priority of a request on a route of this rank: that of its customer before that of the route. A request
 /// without a customer, or of one without a rank, counts as one of a customer with the rank of the route.
 #[must_use]
 pub fn rank_of(customer: Option<&Customer>, route: Rank) -> Rank {
-    let last = ROUTE_RANKS - 1;
+    let last = RANKS - 1;
     let customer = customer.and_then(|customer| customer.rank).unwrap_or(route);
-    customer.min(last) * ROUTE_RANKS + route.min(last)
+    customer.min(last) * RANKS + route.min(last)
 }
 
 /// Sort key of customers, those with the largest caps first; one without a cap may send more than any other.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod moves;
 pub mod order_clock;
 pub mod quarantine;
+pub mod rank_scale;
 pub mod rate_limit;
 pub mod retry_budgets;
 pub mod route_proof;
--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -22,6 +22,8 @@
     services: FastMap<ServiceName, Service>,
     customers: Option<CustomerTable>,
     limits: Option<ClientLimits>,
+    hides_routes: bool,
+    hides_keys: bool,
 }
 
 /// Result of [`ActiveTable::adopt`].
@@ -54,6 +56,8 @@
             services: cfg.services.clone(),
             customers: cfg.customers.as_deref().map(CustomerTable::new),
             limits: Some(cfg.limits),
+            hides_routes: cfg.unreadable.hides_routes,
+            hides_keys: cfg.unreadable.hides_keys,
         }
     }
 
@@ -69,6 +73,18 @@
         self.customers.as_ref()
     }
 
+    /// Whether a request that matches no route may belong to one that could not be read.
+    #[must_use]
+    pub fn hides_routes(&self) -> bool {
+        self.hides_routes
+    }
+
+    /// Whether a key that no customer holds may be one that could not be read.
+    #[must_use]
+    pub fn hides_keys(&self) -> bool {
+        self.hides_keys
+    }
+
     /// Returns the version of the configuration that the table was built from.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/crates/mesh/src/tests.rs
+++ b/crates/mesh/src/tests.rs
@@ -28,6 +28,7 @@
 mod order_clock;
 mod placement;
 mod quarantine;
+mod rank_scale;
 mod rate_limit;
 mod repeated_calls;
 mod replay;
--- a/crates/mesh/src/tests/config_check.rs
+++ b/crates/mesh/src/tests/config_check.rs
@@ -10,6 +10,7 @@
 use crate::config::Config;
 use crate::config::Route;
 use crate::config::Service;
+use crate::config::Unreadable;
 use crate::config::WeightedTarget;
 use crate::config_check::Change;
 use crate::config_check::Difference;
@@ -37,6 +38,7 @@
             service: "bookings".into(),
             weight: 1.0,
         }],
+        unusable_weight: 0.0,
         is_public: false,
     }
 }
@@ -72,6 +74,7 @@
             keep_alive_timeout: Duration::from_secs(15),
         },
         unknown_kinds: Vec::new(),
+        unreadable: Unreadable::default(),
     }
 }
 
--- a/crates/mesh/src/tests/table.rs
+++ b/crates/mesh/src/tests/table.rs
@@ -10,6 +10,7 @@
 use crate::config::MAX_WEIGHT;
 use crate::config::Route;
 use crate::config::Service;
+use crate::config::Unreadable;
 use crate::config::WeightedTarget;
 use crate::table::ActiveTable;
 use crate::table::Adoption;
@@ -35,6 +36,7 @@
                 weight: 10.0,
             },
         ],
+        unusable_weight: 0.0,
         is_public: false,
     }
 }
@@ -55,6 +57,7 @@
             keep_alive_timeout: Duration::from_secs(15),
         },
         unknown_kinds: Vec::new(),
+        unreadable: Unreadable::default(),
     }
 }
 
--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -100,6 +100,13 @@
         &["customer", "outcome"],
         "Requests of customers with a usage cap, by decision; customers beyond the 16 with the largest caps count as `others`",
     ),
+    metric(
+        "bronzehead_config_values_unreadable_total",
+        MetricKind::Counter,
+        "values",
+        &["entry"],
+        "Values in adopted configurations that could not be read, by the kind of their entry",
+    ),
     metric(
         "bronzehead_configs_rejected_total",
         MetricKind::Counter,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -1,8 +1,16 @@
 //! Registry of a daemon's metrics and their Prometheus text format.
 
+mod labels;
+
 use std::fmt;
 use std::time::Duration;
 
+pub use self::labels::CallOutcome;
+pub use self::labels::CapOutcome;
+pub use self::labels::DepartureOutcome;
+pub use self::labels::Direction;
+pub use self::labels::LogRequest;
+pub use self::labels::Purpose;
 use base::Epoch;
 use base::Offset;
 use base::ServiceName;
@@ -51,132 +59,6 @@
 
 impl std::error::Error for MetricsError {}
 
-/// Outcome of a call to the client, as the label `outcome`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallOutcome {
-    /// The upstream answered without a failure.
-    Answered,
-    /// The upstream answered with a failure.
-    Failed,
-    /// The call was refused and did not run.
-    NotRun,
-    /// The call may or may not have run.
-    Unknown,
-    /// The client left before the final answer.
-    ClientLeft,
-}
-
-impl CallOutcome {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Failed => "failed",
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-            Self::ClientLeft => "client-left",
-        }
-    }
-}
-
-/// Decision on a request of a customer with a usage cap, as the label `outcome`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CapOutcome {
-    /// It got a token.
-    Granted,
-    /// The customer has spent its cap.
-    OverCap,
-    /// No allocator answered in time.
-    NoAllocator,
-}
-
-impl CapOutcome {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Granted => "granted",
-            Self::OverCap => "over-cap",
-            Self::NoAllocator => "no-allocator",
-        }
-    }
-}
-
-/// Answer to an upstream that says that it leaves, as the label `outcome`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DepartureOutcome {
-    /// It was acknowledged.
-    Acknowledged,
-    /// The store did not take it in time.
-    Refused,
-}
-
-impl DepartureOutcome {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Acknowledged => "acknowledged",
-            Self::Refused => "refused",
-        }
-    }
-}
-
-/// Direction of control-plane traffic, as the label `direction`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Direction {
-    /// Sent by this daemon.
-    Sent,
-    /// Received by this daemon.
-    Received,
-}
-
-impl Direction {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Sent => "sent",
-            Self::Received => "received",
-        }
-    }
-}
-
-/// Purpose of control-plane traffic, as the label `purpose`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Purpose {
-    /// Membership protocol.
-    Probe,
-    /// Records, leases and facts exchanged between daemons.
-    Feed,
-    /// Evidence sent to the controller.
-    Evidence,
-    /// Requests to the log service.
-    Log,
-}
-
-impl Purpose {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Probe => "probe",
-            Self::Feed => "feed",
-            Self::Evidence => "evidence",
-            Self::Log => "log",
-        }
-    }
-}
-
-/// Kind of a request to the log service, as the label `kind`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogRequest {
-    /// Appends a record.
-    Append,
-    /// Reads records.
-    Read,
-}
-
-impl LogRequest {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Append => "append",
-            Self::Read => "read",
-        }
-    }
-}
-
 /// Gauges of the daemon's state, set when the state changes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StateGauges {
@@ -201,6 +83,7 @@
     attempts_not_run: Counter<u64>,
     unknown_kinds: Counter<u64>,
     configs_rejected: Counter<u64>,
+    config_values_unreadable: Counter<u64>,
     control_bytes: Counter<u64>,
     log_requests: Counter<u64>,
     convergence: Histogram<f64>,
@@ -251,6 +134,7 @@
             attempts_not_run: counter(&meter, "bronzehead_attempts_not_run", ""),
             unknown_kinds: counter(&meter, "bronzehead_route_kinds_unknown", ""),
             configs_rejected: counter(&meter, "bronzehead_configs_rejected", ""),
+            config_values_unreadable: counter(&meter, "bronzehead_config_values_unreadable", ""),
             control_bytes: counter(&meter, "bronzehead_control", "By"),
             log_requests: counter(&meter, "bronzehead_log_requests", ""),
             convergence: seconds_histogram(
@@ -329,6 +213,12 @@
         self.configs_rejected.add(1, &[]);
     }
 
+    /// Counts a value of an adopted configuration that could not be read, by the kind of its entry.
+    pub fn record_unreadable_value(&self, entry: &'static str) {
+        self.config_values_unreadable
+            .add(1, &[static_label("entry", entry)]);
+    }
+
     /// Counts bytes of control-plane traffic.
     pub fn record_control_bytes(&self, purpose: Purpose, direction: Direction, bytes: u64) {
         let purpose = static_label("purpose", purpose.label());
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -258,8 +258,7 @@
 
     /// Marks a peer as one to fetch from if its configuration is newer.
     pub fn record_config_version(&self, version: mesh::ConfigVersion, at: SocketAddr) {
-        let is_rejected = version == self.rejected_config.get();
-        if version > self.active_table.borrow().version() && !is_rejected {
+        if version > self.active_table.borrow().version() {
             self.config_sources
                 .borrow_mut()
                 .record(at, version, Instant::now());
--- a/crates/sidecar/src/identity.rs
+++ b/crates/sidecar/src/identity.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use http_edge::Request;
-use mesh::Config;
 use mesh::ConfigVersion;
 use mesh::config::Route;
 use mesh::customers::CustomerHead;
@@ -45,6 +44,8 @@
     ConfigPending,
     /// The same; this daemon cannot prove that there is no later one.
     Unproven,
+    /// The configuration in force does not have the key, but holds some that cannot be read.
+    Unreadable,
 }
 
 impl Node {
@@ -78,13 +79,14 @@
             RequestKey::Malformed => KeyFault::Malformed,
             RequestKey::Key(_) if self.is_config_pending() => KeyFault::ConfigPending,
             RequestKey::Key(_) if self.unproven_key().is_some() => KeyFault::Unproven,
+            RequestKey::Key(_) if table.hides_keys() => KeyFault::Unreadable,
             RequestKey::Key(_) => KeyFault::Unknown,
         };
         let res = match fault {
             KeyFault::Missing | KeyFault::Malformed | KeyFault::Unknown => {
                 DaemonResponse::UnknownKey
             }
-            KeyFault::ConfigPending | KeyFault::Unproven => {
+            KeyFault::ConfigPending | KeyFault::Unproven | KeyFault::Unreadable => {
                 DaemonResponse::NotRun(NO_INSTANCE_RETRY)
             }
         };
@@ -114,6 +116,7 @@
             KeyFault::Unknown => "key-unknown",
             KeyFault::ConfigPending => "key-config-pending",
             KeyFault::Unproven => "key-unproven",
+            KeyFault::Unreadable => "key-unreadable",
         };
         self.metrics.record_not_run(label);
         let now = Instant::now();
@@ -152,14 +155,6 @@
         self.unproven_key()
     }
 
-    /// Whether a configuration has no customers though the one in force has. In force, it would let every request
-    /// run without a key.
-    pub fn lacks_customers(&self, cfg: &Config) -> bool {
-        let table = self.active_table.borrow();
-        let had_customers = table.current().is_some_and(|t| t.customers().is_some());
-        had_customers && cfg.customers.is_none()
-    }
-
     /// Logs what a configuration says of its customers that may be a mistake.
     pub fn log_customers(&self, table: &RouteTable) {
         let Some(customers) = table.customers() else {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -122,23 +122,14 @@
             return self.refuse_without_config(&head.id);
         };
         let Some(route) = table.find(&head.host, req.path()).cloned() else {
-            self.event_log
-                .emit(EventClass::Failure, "no-route", began, || {
-                    json!({
-                        "request": head.id,
-                        "host": head.host,
-                        "path": req.path(),
-                        "config": table.version(),
-                    })
-                });
-            return responses::encode(DaemonResponse::NoRoute, &head.id);
+            return self.refuse_without_route(&head, req.path(), &table);
         };
         let sender = match self.identify_sender(&table, &route, &head, &mut req) {
             Ok(sender) => sender,
             Err(res) => return responses::encode(res, &head.id),
         };
         let Some(service) = route.pick_service(self.random()).cloned() else {
-            return responses::encode(DaemonResponse::NoRoute, &head.id);
+            return self.refuse_unreadable_route(&head, req.path(), &table);
         };
         let client_left = head.time_left.unwrap_or(DEFAULT_TIMEOUT);
         let left = client_left.min(route.timeout);
@@ -276,17 +267,6 @@
         Some(responses::encode(res, &state.id))
     }
 
-    fn refuse_without_config(&self, id: &str) -> Response {
-        self.metrics.record_not_run("no-configuration");
-        self.event_log.emit(
-            EventClass::Failure,
-            "no-configuration",
-            Instant::now(),
-            || json!({ "request": id }),
-        );
-        responses::encode(DaemonResponse::NotRun(NO_INSTANCE_RETRY), id)
-    }
-
     async fn run_attempts(&self, mut state: RequestState, req: &Request) -> Response {
         loop {
             let Some(entry) = self.next_instance(&state, req.body.len()) else {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 //! Entry point: [`run`], which starts all tasks and stops them in order.
 
 mod abandoned;
+mod adoption;
 mod announce;
 mod answers;
 mod attempt;
@@ -40,6 +41,7 @@
 mod slot;
 mod store_sync;
 mod transfer;
+mod unrouted;
 mod versions;
 
 #[cfg(test)]
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -18,7 +18,6 @@
 use http_edge::Pool;
 use http_edge::PoolCfg;
 use mesh::Balancer;
-use mesh::ConfigVersion;
 use mesh::Directory;
 use mesh::LeaderElection;
 use mesh::LocalInstance;
@@ -27,14 +26,12 @@
 use mesh::balancer::RandomPair;
 use mesh::canary::CanaryAnalysis;
 use mesh::config::RouteName;
-use mesh::config::UnknownKind;
 use mesh::config_sources::ConfigSources;
 use mesh::directory::Entry;
 use mesh::election::Claim;
 use mesh::election::Role;
 use mesh::election::strength;
 use mesh::evacuation::Evacuations;
-use mesh::knowledge::ConfigFate;
 use mesh::knowledge::Knowledge;
 use mesh::link::Direction;
 use mesh::link::LinkMeter;
@@ -46,7 +43,6 @@
 use mesh::retry_budgets::RetryBudgets;
 use mesh::shutdown::Shutdown;
 use mesh::table::ActiveTable;
-use mesh::table::Adoption;
 use mesh::wake::BootTime;
 use mesh::wake::WakeDetector;
 use mesh::wire::LoadReport;
@@ -61,7 +57,6 @@
 use serde_json::json;
 use users_platform::BootConfig;
 use users_platform::StoreClient;
-use users_platform::operator;
 
 use crate::caps::CapGate;
 use crate::clock;
@@ -100,8 +95,6 @@
     pub compressed_config: RefCell<Bytes>,
     /// Peers that announced a later configuration.
     pub config_sources: RefCell<ConfigSources>,
-    /// Version of a configuration that was rejected although it could be read.
-    pub rejected_config: Cell<ConfigVersion>,
     pub read_requests: ReadRequests,
     /// Age of what this daemon knows of the operator's records.
     pub knowledge: RefCell<Knowledge>,
@@ -189,7 +182,6 @@
             active_table: RefCell::default(),
             compressed_config: RefCell::default(),
             config_sources: RefCell::default(),
-            rejected_config: Cell::new(0),
             read_requests: ReadRequests::default(),
             knowledge: RefCell::new(Knowledge::new(rand::random())),
             withheld_proof: Cell::new(None),
@@ -325,79 +317,6 @@
         }
     }
 
-    /// Adopts a serialized configuration if it is newer. `source` names its origin in the log;
-    /// `compress` returns the compressed form for peers.
-    pub fn adopt_config(
-        &self,
-        bytes: &Bytes,
-        source: &str,
-        compress: impl FnOnce() -> Bytes,
-    ) -> ConfigFate {
-        let cfg = match operator::decode_config(bytes) {
-            Ok(cfg) => cfg,
-            Err(e) => {
-                self.metrics.record_config_rejected();
-                self.log_state(
-                    "config-unreadable",
-                    || json!({ "source": source, "reason": e }),
-                );
-                return ConfigFate::Rejected;
-            }
-        };
-        if self.lacks_customers(&cfg) {
-            self.rejected_config.set(cfg.version);
-            self.metrics.record_config_rejected();
-            let reason = "the customers of the configuration in force are missing";
-            self.log_state(
-                "config-unreadable",
-                || json!({ "source": source, "version": cfg.version, "reason": reason }),
-            );
-            return ConfigFate::Rejected;
-        }
-        let before = self.active_table.borrow().version();
-        if self.active_table.borrow_mut().adopt(&cfg) == Adoption::Adopted {
-            *self.compressed_config.borrow_mut() = compress();
-            let pending = self
-                .config_sources
-                .borrow_mut()
-                .record_adoption(cfg.version, Instant::now());
-            self.apply_cold_rate();
-            if cfg.customers.is_some() {
-                self.balancer.borrow_mut().expect_uneven_load();
-            }
-            let keeps_slots = cfg.customers.is_some();
-            self.dispatcher
-                .admission
-                .borrow_mut()
-                .set_keeps_slots(keeps_slots);
-            self.knowledge.borrow_mut().record_adoption(cfg.version);
-            let customers = cfg.customers.as_deref();
-            self.caps
-                .set_config(cfg.version, customers, self.boot_time());
-            self.log_state("config-adopted", || {
-                json!({
-                    "version": cfg.version,
-                    "before": before,
-                    "routes": cfg.routes.len(),
-                    "source": source,
-                    "pending_ms": pending.map(|pending| pending.as_millis()),
-                })
-            });
-            let table = self.active_table.borrow().current().cloned();
-            if let Some(table) = table {
-                self.log_customers(&table);
-            }
-            for UnknownKind { kind, route } in &cfg.unknown_kinds {
-                self.metrics.record_unknown_kind();
-                self.log_state(
-                    "route-kind-unknown",
-                    || json!({ "version": cfg.version, "kind": kind, "route": route }),
-                );
-            }
-        }
-        ConfigFate::InForce
-    }
-
     /// Returns whether this daemon is a leader of its zone and reads the store for it.
     pub fn is_leader(&self) -> bool {
         !self.stopping.is_set() && self.election.borrow().role(Instant::now()) == Role::Leader
--- a/crates/sidecar/tests/end_to_end/main.rs
+++ b/crates/sidecar/tests/end_to_end/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod configurations;
 mod crashes;
 mod customers;
 mod evacuation;
