A proof that stays withheld is told again, and shown by a gauge

Cause: while the latest configuration is not in force, all keys stop; one log line at the change is easily lost among those of a long outage, and no metric showed the state.

Change: `key-proof-withheld` is logged at each change and each 10 s while it lasts, with the time for which it has lasted; `bronzehead_key_proof_withheld` is 1 meanwhile.

Measured: a_proof_that_stays_withheld_is_told_again_at_a_bounded_rate passes, as do the tests of the metrics' catalogue and page.

--- a/crates/report/src/catalogue.rs
+++ b/crates/report/src/catalogue.rs
@@ -233,6 +233,13 @@
         &[],
         "Offset of the first record that this daemon lacks",
     ),
+    metric(
+        "bronzehead_key_proof_withheld",
+        MetricKind::Gauge,
+        "flag",
+        &[],
+        "1 while the operator's latest configuration was read and is not in force here, so that keys stop in time",
+    ),
     metric(
         "bronzehead_queued_calls",
         MetricKind::Gauge,
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -84,6 +84,7 @@
     unknown_kinds: Counter<u64>,
     configs_rejected: Counter<u64>,
     config_values_unreadable: Counter<u64>,
+    proof_withheld: Gauge<u64>,
     control_bytes: Counter<u64>,
     log_requests: Counter<u64>,
     convergence: Histogram<f64>,
@@ -135,6 +136,7 @@
             unknown_kinds: counter(&meter, "bronzehead_route_kinds_unknown", ""),
             configs_rejected: counter(&meter, "bronzehead_configs_rejected", ""),
             config_values_unreadable: counter(&meter, "bronzehead_config_values_unreadable", ""),
+            proof_withheld: gauge(&meter, "bronzehead_key_proof_withheld"),
             control_bytes: counter(&meter, "bronzehead_control", "By"),
             log_requests: counter(&meter, "bronzehead_log_requests", ""),
             convergence: seconds_histogram(
@@ -219,6 +221,11 @@
             .add(1, &[static_label("entry", entry)]);
     }
 
+    /// Sets whether reads of the operator's records prove nothing, as the latest configuration is not in force.
+    pub fn set_proof_withheld(&self, is_withheld: bool) {
+        self.proof_withheld.record(u64::from(is_withheld), &[]);
+    }
+
     /// Counts bytes of control-plane traffic.
     pub fn record_control_bytes(&self, purpose: Purpose, direction: Direction, bytes: u64) {
         let purpose = static_label("purpose", purpose.label());
--- a/crates/report/src/tests/metrics.rs
+++ b/crates/report/src/tests/metrics.rs
@@ -25,6 +25,7 @@
     metrics.record_added_latency(&service, Duration::from_micros(300));
     metrics.record_unknown_kind();
     metrics.record_config_rejected();
+    metrics.set_proof_withheld(true);
     metrics.record_unreadable_value("route");
     metrics.record_not_run("overloaded");
     metrics.record_control_bytes(Purpose::Feed, Direction::Sent, 120);
--- a/crates/sidecar/src/knowledge.rs
+++ b/crates/sidecar/src/knowledge.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use base::DaemonId;
+use base::Offset;
 use mesh::ConfigVersion;
 use mesh::knowledge::Answer;
 use mesh::knowledge::KnowledgeNote;
@@ -33,6 +34,9 @@
 /// Daemons of each other zone that are asked, and of the own zone beside its leaders.
 const ASKED_PER_ZONE: usize = 1;
 
+/// Time between two log lines about a proof that is withheld.
+const WITHHELD_NOTICE_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Shortest and longest retry delay that is sent while no key counts. The longer that has lasted, the later the
 /// next proof is to be expected.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
@@ -62,6 +66,44 @@
     }
 }
 
+/// The operator's configuration that is not in force here, for which reads prove nothing.
+#[derive(Debug, Default)]
+pub struct WithheldProof {
+    offset: Option<Offset>,
+    since: Option<Instant>,
+    noticed_at: Option<Instant>,
+}
+
+/// That the proof is withheld, or no longer is, is to be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WithheldNotice {
+    /// Time for which it has been withheld.
+    pub lasted: Duration,
+}
+
+impl WithheldProof {
+    /// Records the offset of the configuration for which a read proved nothing, if so. Returns a notice at each change,
+    /// and again while it lasts.
+    pub fn next(&mut self, offset: Option<Offset>, now: Instant) -> Option<WithheldNotice> {
+        let is_repeat = offset.is_some()
+            && self
+                .noticed_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= WITHHELD_NOTICE_INTERVAL);
+        if offset == self.offset && !is_repeat {
+            return None;
+        }
+        let since = *self.since.get_or_insert(now);
+        if offset.is_none() {
+            self.since = None;
+        }
+        self.offset = offset;
+        self.noticed_at = Some(now);
+        Some(WithheldNotice {
+            lasted: now.saturating_duration_since(since),
+        })
+    }
+}
+
 impl Node {
     /// Returns whether keys count by the age of the proof; `None` if the deployment does not ask for a proof.
     pub fn proof_standing(&self) -> Option<ProofStanding> {
@@ -99,10 +141,19 @@
             ReadProof::Counted => None,
             ReadProof::Withheld(offset) => Some(offset),
         };
-        if self.withheld_proof.replace(withheld) != withheld {
+        if let Some(notice) = self
+            .withheld_proof
+            .borrow_mut()
+            .next(withheld, Instant::now())
+        {
+            self.metrics.set_proof_withheld(withheld.is_some());
             self.log_state("key-proof-withheld", || {
                 let age = self.proof_age();
-                json!({ "offset": withheld, "age_ms": age.map(|age| age.as_millis()) })
+                json!({
+                    "offset": withheld,
+                    "for_ms": notice.lasted.as_millis(),
+                    "age_ms": age.map(|age| age.as_millis()),
+                })
             });
         }
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,7 +10,6 @@
 use base::DaemonId;
 use base::FastMap;
 use base::Incarnation;
-use base::Offset;
 use base::ServiceName;
 use bytes::Bytes;
 use http_edge::DatagramSocket;
@@ -62,6 +61,7 @@
 use crate::clock;
 use crate::cold::ColdGuard;
 use crate::dispatcher::InstanceDispatcher;
+use crate::knowledge::WithheldProof;
 use crate::limits::RequestLimits;
 use crate::logs::EventClass;
 use crate::logs::EventLog;
@@ -98,8 +98,7 @@
     pub read_requests: ReadRequests,
     /// Age of what this daemon knows of the operator's records.
     pub knowledge: RefCell<Knowledge>,
-    /// Offset of the operator's configuration that is not in force here, for which reads prove nothing.
-    pub withheld_proof: Cell<Option<Offset>>,
+    pub withheld_proof: RefCell<WithheldProof>,
     /// Address of a peer with members that this daemon lacks.
     pub members_source: Cell<Option<SocketAddr>>,
     pub election: RefCell<LeaderElection>,
@@ -184,7 +183,7 @@
             config_sources: RefCell::default(),
             read_requests: ReadRequests::default(),
             knowledge: RefCell::new(Knowledge::new(rand::random())),
-            withheld_proof: Cell::new(None),
+            withheld_proof: RefCell::default(),
             members_source: Cell::new(None),
             election: RefCell::new(LeaderElection::new(
                 boot.daemon.clone(),
--- a/crates/sidecar/src/tests.rs
+++ b/crates/sidecar/src/tests.rs
@@ -6,3 +6,4 @@
 mod isolation;
 mod limits;
 mod origins;
+mod withheld_proof;
