A client cannot hide its customer by the Connection header

Cause: the customer was set first, and the headers that the client's `Connection` lists were removed after that. The caller's service, the time left and the target are set later.

Change: one function of the adapter removes what concerns the client's connection and then sets all that the daemon says, the customer included. The key is read before, so that the list cannot take it away.

Measured: an_instance_gets_the_customer_of_the_key_and_never_the_key failed with the former order (the header was missing) and passes.

--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -103,7 +103,7 @@
 }
 
 impl Node {
-    async fn serve(&self, mut req: Request) -> Response {
+    async fn serve(&self, req: Request) -> Response {
         let head = match requests::decode(&req) {
             Ok(head) => head,
             Err(fault) => {
@@ -124,7 +124,7 @@
         let Some(route) = table.find(&head.host, req.path()).cloned() else {
             return self.refuse_without_route(&head, req.path(), &table);
         };
-        let sender = match self.identify_sender(&table, &route, &head, &mut req) {
+        let sender = match self.identify_sender(&table, &route, &head, &req) {
             Ok(sender) => sender,
             Err(res) => return responses::encode(res, &head.id),
         };
@@ -179,7 +179,8 @@
             return refusal;
         }
         let began = state.began;
-        requests::prepare_to_forward(&mut req, &self.own_service());
+        let sender = sender(state.has_customers, state.customer.as_ref());
+        requests::prepare_to_forward(&mut req, &self.own_service(), sender);
         self.add_to_budget(&mut state);
         let (id, service, route) = (
             state.id.clone(),
@@ -207,30 +208,21 @@
         responses::encode(DaemonResponse::TimedOut, &id)
     }
 
-    /// Finds the customer of a request, and sets it for the instance in place of the key.
+    /// Finds the customer of a request, and what identifies the request.
     fn identify_sender(
         &self,
         table: &RouteTable,
         route: &Route,
         head: &ClientHead,
-        req: &mut Request,
+        req: &Request,
     ) -> Result<IdentifiedSender, DaemonResponse> {
         let customer = match self.identify(table, route, req, &head.id) {
             Identified::Nobody => None,
             Identified::Customer(identity) => Some(identity),
             Identified::Refused(res) => return Err(res),
         };
-        let name = customer
-            .as_ref()
-            .map(|identity| identity.customer.name.clone());
-        let sender = match table.customers() {
-            Some(_) => Sender::Customer(name.as_deref()),
-            None => Sender::ByCredentials,
-        };
+        let sender = sender(table.customers().is_some(), customer.as_ref());
         let fingerprint = requests::fingerprint(req, &head.host, sender);
-        if table.customers().is_some() {
-            requests::set_customer(req, name.as_deref());
-        }
         Ok(IdentifiedSender {
             customer,
             fingerprint,
@@ -463,6 +455,15 @@
     }
 }
 
+/// Returns who sends a request of this customer, if the deployment has customers.
+fn sender(has_customers: bool, customer: Option<&Identity>) -> Sender<'_> {
+    if has_customers {
+        Sender::Customer(customer.map(|identity| identity.customer.name.as_str()))
+    } else {
+        Sender::ByCredentials
+    }
+}
+
 fn retry_unless_exhausted(state: &mut RequestState, not_run: NotRun, by: NotRunBy) -> NextStep {
     state.last_refusal = Some(not_run.clone());
     let full_value_time = state
--- a/crates/sidecar/tests/end_to_end/customers.rs
+++ b/crates/sidecar/tests/end_to_end/customers.rs
@@ -104,6 +104,8 @@
         check("/look/1", &[("authorization", two)], Some("moulds")).await;
         let forged = [("authorization", two), ("x-tenant", "gowns")];
         check("/look/1", &forged, Some("moulds")).await;
+        let hidden = [("authorization", one), ("connection", "x-tenant")];
+        check("/look/1", &hidden, Some("gowns")).await;
         check("/open/1", &[], None).await;
         check("/open/1", &[("x-tenant", "gowns")], None).await;
         check("/open/1", &[("authorization", "Bearer other")], None).await;
