A heartbeat of a service that nobody names changes nothing

Cause: the service of a heartbeat was not compared with anything; that of the last one goes before that of the settings.

Change: an incarnation keeps its service; another one counts only if the settings or the configuration in force name its service. Others get 400 and are logged with their service.

--- a/crates/mesh/src/instance.rs
+++ b/crates/mesh/src/instance.rs
@@ -51,6 +51,8 @@
     Sequence,
     /// The incarnation began in the future.
     Born,
+    /// It names a service that nobody else does, or not that of its incarnation.
+    Service,
 }
 
 /// One heartbeat, as decoded from the instance's request.
@@ -144,6 +146,30 @@
 }
 
 impl LocalInstance {
+    /// Checks the service of a heartbeat. An incarnation keeps its service; that of another one must be named by the
+    /// daemon's settings or the configuration, as `is_named` tells.
+    ///
+    /// # Errors
+    /// When the heartbeat is not one of an instance here.
+    pub fn check_service(
+        &self,
+        heartbeat: &Heartbeat,
+        is_named: impl FnOnce(&ServiceName) -> bool,
+    ) -> Result<(), HeartbeatFault> {
+        let same_incarnation = self
+            .last_heartbeat()
+            .filter(|last| last.key() == heartbeat.key());
+        let is_sound = match same_incarnation {
+            Some(last) => last.service == heartbeat.service,
+            None => is_named(&heartbeat.service),
+        };
+        if is_sound {
+            Ok(())
+        } else {
+            Err(HeartbeatFault::Service)
+        }
+    }
+
     /// Applies a heartbeat. One of an older incarnation, or not newer than the last one, is
     /// ignored.
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> Change {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use base::ServiceName;
 use base::units::unix_millis;
 use http::StatusCode;
 use http_edge::Handler;
@@ -73,6 +74,15 @@
         }
     }
 
+    /// Returns whether the settings or the configuration in force name a service.
+    fn names_service(&self, service: &ServiceName) -> bool {
+        let table = self.active_table.borrow();
+        let is_defined = table
+            .current()
+            .is_some_and(|table| table.service(service).is_some());
+        is_defined || self.boot.borrow().service == *service
+    }
+
     /// Applies a heartbeat of the local instance.
     ///
     /// # Errors
@@ -86,11 +96,18 @@
             return Err("address of another machine");
         }
         let wall = unix_millis(SystemTime::now());
-        if let Err(fault) = heartbeat.check(wall) {
-            self.log_state(
-                "heartbeat-unreadable",
-                || json!({ "instance": heartbeat.id, "reason": format!("{fault:?} out of range") }),
-            );
+        let is_named = |service: &ServiceName| self.names_service(service);
+        let checked = heartbeat
+            .check(wall)
+            .and_then(|()| self.local.borrow().check_service(&heartbeat, is_named));
+        if let Err(fault) = checked {
+            self.log_state("heartbeat-unreadable", || {
+                json!({
+                    "instance": heartbeat.id,
+                    "service": heartbeat.service,
+                    "reason": format!("{fault:?} out of range"),
+                })
+            });
             return Err("unreadable heartbeat");
         }
         let (slots, born, phase) = (heartbeat.slots, heartbeat.born, heartbeat.phase);
--- a/crates/sidecar/tests/end_to_end/configurations.rs
+++ b/crates/sidecar/tests/end_to_end/configurations.rs
@@ -31,7 +31,7 @@
 /// Guards against an old configuration that stays in force because of a priority above 255.
 #[test]
 fn a_configuration_with_a_large_priority_is_in_force_in_time() {
-    with_fleet(102, |store, front, back| async move {
+    with_fleet(105, |store, front, back| async move {
         wait_for_instance(&front).await;
         let text = config_text(9, "catalogue", "{}", "");
         let text = text.replace("\"Priority\":1", "\"Priority\":300");
@@ -43,7 +43,7 @@
             assert_eq!(res.header("x-response-stamp"), Some("i-2"));
         }
         // A daemon that has never had another configuration.
-        let new = machine(boot(102, 4, "spare"), 4).await;
+        let new = machine(boot(105, 4, "spare"), 4).await;
         wait_for_config(&[&new], 9).await;
         let serves = Instant::now();
         while new
@@ -63,7 +63,7 @@
 /// Guards against entries that stay out of force because another one cannot be read.
 #[test]
 fn what_can_be_read_of_a_configuration_is_in_force_beside_what_cannot() {
-    with_fleet(103, |store, front, back| async move {
+    with_fleet(106, |store, front, back| async move {
         wait_for_instance(&front).await;
         let look = r#""look":{"Hostname":"shop.example","#;
         let odd = [
--- a/crates/sidecar/tests/end_to_end/odd_input.rs
+++ b/crates/sidecar/tests/end_to_end/odd_input.rs
@@ -123,6 +123,57 @@
     });
 }
 
+/// Guards against a heartbeat of another writer that changes the service of which requests are said to come.
+#[test]
+fn a_heartbeat_of_a_service_that_nobody_names_changes_nothing() {
+    with_fleet(107, |_, front, back| async move {
+        wait_for_instance(&front).await;
+        let caller = async |id: &str| {
+            assert_serves(&front, id).await;
+            let received = back.instance.received.borrow();
+            let req = received
+                .iter()
+                .rfind(|req| req.header("x-request-id") == Some(id));
+            let caller = req.and_then(|req| req.header("x-caller-service"));
+            caller.map(str::to_owned)
+        };
+        let heartbeat = |id: &str, service: &str, state: &str, born: u64| {
+            let body = format!(
+                r#"{{"Service":"{service}","Address":"{}:{INSTANCE}","Zone":"suva-a","Version":"v1","Slots":4,"State":"{state}","ColdLeft":"0ms","Seq":900,"born":{born}}}"#,
+                front.ip,
+            );
+            Request::post(format!("/-/Instances.Heartbeat/{id}"), body)
+        };
+        let own = front.instance.name.to_string();
+        for (id, service, state, born) in [
+            (own.as_str(), "nobody", "ready", 7),
+            (&own, "nobody", "draining", 7),
+            (&own, "", "ready", 7),
+            // A service that the configuration names, but not that of this incarnation.
+            (&own, "bookings", "ready", 7),
+            (&own, "nobody", "ready", 8),
+            ("other", "nobody", "draining", 9),
+        ] {
+            let res = send(front.ip, HEARTBEATS, heartbeat(id, service, state, born)).await;
+            assert_eq!(res.status, StatusCode::BAD_REQUEST, "{id} {service} {born}");
+            let id = format!("{id}-{service}-{state}-{born}");
+            assert_eq!(caller(&id).await.as_deref(), Some("catalogue"), "{id}");
+        }
+        // The next one of the instance counts, and so does another instance of a service that is named.
+        front.send_heartbeat("catalogue", "ready").await;
+        assert_eq!(caller("own").await.as_deref(), Some("catalogue"));
+        let res = send(
+            front.ip,
+            HEARTBEATS,
+            heartbeat("next", "bookings", "ready", 9),
+        )
+        .await;
+        assert_eq!(res.status, StatusCode::OK);
+        assert_eq!(caller("next").await.as_deref(), Some("bookings"));
+        (front, back)
+    });
+}
+
 /// The store accepts valid configurations only; what is valid there may still be larger than a clock holds.
 #[test]
 fn a_configuration_with_times_that_no_clock_holds_is_in_force() {
