Requests on kept connections are held to the limits of their arrival

Cause: the limits were taken before the head of the next request was awaited, so they were those of the answer before. A lower limit came as late, and a raised idle timeout did not hold for a connection that was idle already.

Change: the wait for a request is apart from reading it. The limits are taken when its first bytes have come; the idle timeout is looked up again when it is over. The limits before the first configuration and those in place of unreadable ones are one definition.

Measured: a_request_on_a_kept_connection_is_held_to_the_limits_of_its_arrival (413 in place of 200) and a_connection_stays_open_for_an_idle_timeout_that_is_raised_meanwhile (closed) failed without the change of the reader and pass; 52 tests of the package pass.

--- a/crates/http-edge/src/incoming.rs
+++ b/crates/http-edge/src/incoming.rs
@@ -148,6 +148,29 @@
         self.io.read(Vec::with_capacity(1)).await.0
     }
 
+    /// Waits for the first bytes of a message; `false` at the end of the connection. The idle timeout is looked up
+    /// again when it is over, since it may have been raised meanwhile.
+    pub(crate) async fn wait_for_message(
+        &mut self,
+        idle_timeout: impl Fn() -> Duration,
+    ) -> Result<bool, ReadError> {
+        let began = Instant::now();
+        while !self.has_bytes() {
+            let left = idle_timeout().saturating_sub(began.elapsed());
+            if left.is_zero() {
+                return Err(ReadError::Idle);
+            }
+            let buf = Vec::with_capacity(INITIAL_HEAD_BYTES);
+            match self.read_into(buf, Some(left)).await {
+                Ok((0, _)) => return Ok(false),
+                Ok((_, buf)) => self.buf = buf,
+                Err(ReadError::Idle) => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+
     /// Reads a head of at most `max_bytes`; `None` at the end of the connection. `began` is called
     /// when its first byte has come.
     pub(crate) async fn read_head(
--- a/crates/http-edge/src/server/reader.rs
+++ b/crates/http-edge/src/server/reader.rs
@@ -149,14 +149,20 @@
 impl Reader<'_> {
     /// Reads the next request; `None` at the end of the connection.
     async fn read_request(&mut self) -> Result<Option<Incoming>, Failure> {
-        let cfg = self.shared.cfg.get();
         let conn = self.conn;
+        conn.has_begun.set(false);
+        let idle_timeout = || self.shared.cfg.get().idle_timeout;
+        if !self.input.wait_for_message(idle_timeout).await? {
+            return Ok(None);
+        }
+        conn.account.record_progress();
+        // The limits that are in force when the request begins, however long the connection was idle before.
+        let cfg = self.shared.cfg.get();
         let terms = Terms {
             account: Some(&conn.account),
             arrival: None,
             pace: Some(pace(&cfg)),
         };
-        conn.has_begun.set(false);
         let began = || conn.has_begun.set(true);
         let max_head = cfg.limits.max_head_bytes;
         let Some(bytes) = self.input.read_head(max_head, terms, began).await? else {
--- a/crates/http-edge/src/tests.rs
+++ b/crates/http-edge/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod arrivals;
 mod budget;
+mod changed_limits;
 mod chunks;
 mod disconnects;
 mod endless;
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -214,7 +214,8 @@
 
 /// Limits on requests and connections of clients.
 ///
-/// The default ones are for a configuration whose own cannot be read. They are the strictest that deployments have.
+/// The default ones are in force before the first configuration, and in place of those that cannot be read. They are the
+/// strictest that deployments have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientLimits {
     /// Largest request head, in bytes.
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -47,14 +47,6 @@
 /// Bytes that daemons add to the head of a request.
 const ADDED_HEAD_BYTES: usize = 32 * 1024;
 
-/// Limits before the first configuration: the users' usual ones.
-const INITIAL_LIMITS: ClientLimits = ClientLimits {
-    max_head: 16 * 1024,
-    max_body: 64 * 1024 * 1024,
-    head_timeout: Duration::from_secs(10),
-    keep_alive_timeout: Duration::from_mins(1),
-};
-
 /// How much longer than stated a head may take, since packets get lost.
 const HEAD_TIMEOUT_FACTOR: u32 = 2;
 
@@ -90,8 +82,8 @@
     pub fn new(boot: &BootConfig) -> Self {
         Self {
             budget: MemoryBudget::new(budget_limits(boot)),
-            clients: Rc::new(Cell::new(client_cfg(&INITIAL_LIMITS))),
-            peers: Rc::new(Cell::new(peer_cfg(&INITIAL_LIMITS))),
+            clients: Rc::new(Cell::new(client_cfg(&ClientLimits::default()))),
+            peers: Rc::new(Cell::new(peer_cfg(&ClientLimits::default()))),
             counted: Cell::default(),
         }
     }
--- a/crates/sidecar/tests/end_to_end/odd_input.rs
+++ b/crates/sidecar/tests/end_to_end/odd_input.rs
@@ -144,7 +144,7 @@
             );
             Request::post(format!("/-/Instances.Heartbeat/{id}"), body)
         };
-        let own = front.instance.name.to_string();
+        let own = front.instance.name.clone();
         for (id, service, state, born) in [
             (own.as_str(), "nobody", "ready", 7),
             (&own, "nobody", "draining", 7),
