Drawn moves also have troubles that begin before the order

Cause: the drawn moves had no trouble that was there when the order came, and no route whose requests always fail, so nothing measured what the verdict does where the old version says nothing of the new one.

Change: a third of the troubles are there from the start, and one in eleven moves has a route with a timeout below its service time.

--- a/crates/mesh/examples/move_trials/trial.rs
+++ b/crates/mesh/examples/move_trials/trial.rs
@@ -86,10 +86,12 @@
     ReportsDoubled,
     LeaderChanges,
     StoreAway,
+    /// The first route has a timeout below its service time.
+    RouteAlwaysFails,
 }
 
 impl Beside {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::Nothing,
         Self::OldFails,
         Self::OldSlow,
@@ -100,6 +102,7 @@
         Self::ReportsDoubled,
         Self::LeaderChanges,
         Self::StoreAway,
+        Self::RouteAlwaysFails,
     ];
 
     /// Whether a good version can complete in its time: neither its service nor the store fails meanwhile.
@@ -111,6 +114,7 @@
                 | Self::ReportsLost
                 | Self::ReportsDoubled
                 | Self::LeaderChanges
+                | Self::RouteAlwaysFails
         )
     }
 }
@@ -128,6 +132,7 @@
             Self::ReportsDoubled => "reports are doubled",
             Self::LeaderChanges => "leader changes",
             Self::StoreAway => "store is away",
+            Self::RouteAlwaysFails => "route always fails",
         })
     }
 }
@@ -181,10 +186,14 @@
     /// Draws a trial.
     pub fn draw(seed: u64) -> Self {
         let mut random = SplitMix64::new(seed);
-        let routes = draw_routes(&mut random);
+        let mut routes = draw_routes(&mut random);
         let kind = draw_kind(&mut random);
         let beside = pick(&mut random, &Beside::ALL);
-        let start = WITHIN.mul_f64(random.next_f64() * 0.9);
+        if beside == Beside::RouteAlwaysFails {
+            routes[0].timeout = routes[0].time / 2;
+        }
+        // A third of the troubles are there when the order comes.
+        let start = WITHIN.mul_f64((random.next_f64() * 1.35 - 0.45).max(0.0));
         Self {
             routes,
             old_instances: 1 + index(&mut random, MAX_INSTANCES),
