A version is not proven by a service that mostly fails

Cause: a route on which most answers of the old version had failed since the start of its instances was left out of the verdict and counted as proven, also if it had nearly all requests, and after it had recovered. Its answers counted towards a good verdict all the same.

Change: such routes are left out only while they still fail, and only if they have at most half of the requests. Their answers do not count towards a good verdict. Else the service counts as degraded and the share stays small.

The tests a_move_is_not_completed_while_most_requests_of_the_old_version_fail and a_route_on_which_the_others_have_recovered_is_judged failed before.

--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -28,6 +28,7 @@
 pub use crate::canary::report::ProofSpan;
 use crate::canary::samples::RecentAnswers;
 use crate::canary::samples::RecentPair;
+use crate::canary::samples::Sample;
 use crate::canary::samples::sum_all;
 use crate::canary::samples::sum_better_half;
 use crate::canary::samples::sum_but_worst_quarter;
@@ -168,9 +169,12 @@
         let new = self.counts_by_instance(service, target, ProofSpan::Move);
         let at_stage = self.counts_by_instance(service, target, ProofSpan::Stage);
         let old = self.counts(service, |version| version != target);
-        let verdicts: Vec<Verdict> = new
-            .iter()
-            .filter(|(route, _)| !self.has_always_failed(service, target, route))
+        let incomparable = self.incomparable_routes(service, target);
+        let comparable = || {
+            new.iter()
+                .filter(|(route, _)| !incomparable.contains(*route))
+        };
+        let verdicts: Vec<Verdict> = comparable()
             .map(|(route, counts)| {
                 let recent = RecentPair {
                     new: sum_better_half(self.recent(service, route, |v| v == target)),
@@ -191,7 +195,8 @@
                 return verdict;
             }
         }
-        let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
+        let counts = comparable().flat_map(|(_, counts)| counts);
+        let answers: u32 = counts.map(|count| count.answers).sum();
         if answers < MIN_ANSWERS || self.reporting(service, target, now) * 2 < instances {
             return Verdict::InsufficientData;
         }
@@ -214,6 +219,7 @@
         let old = self.counts(service, |version| version != target);
         let all = self.counts(service, |_| true);
         let service_requests = all.values().map(RouteStats::requests).sum();
+        let incomparable = self.incomparable_routes(service, target);
         let mut unproven: Vec<UnprovenRoute> = all
             .into_keys()
             .map(|route| {
@@ -222,6 +228,7 @@
                     new: &sum_but_worst_quarter(counts),
                     old: old.get(&route),
                     compares_latency: true,
+                    is_comparable: !incomparable.contains(&route),
                     service_requests,
                 };
                 UnprovenRoute {
@@ -258,6 +265,7 @@
             new: &new,
             old: Some(&sum_all(old.values())),
             compares_latency: false,
+            is_comparable: true,
             service_requests: new.requests(),
         };
         sample.proof(bad, bad) == RouteProof::Proven
@@ -357,19 +365,39 @@
         }
     }
 
-    /// Whether most answers of the versions other than the target on a route have been failures since the
-    /// start of their instances, as with a timeout below the service time. Such a route tells nothing of
-    /// the target, nor that the service is degraded.
-    fn has_always_failed(
+    /// Returns the routes that tell nothing of the target: most answers of the other versions there have been failures
+    /// since the start of their instances and still are, as with a timeout below the service time. Empty if most
+    /// requests are on such routes, since then the service is degraded and the others say too little.
+    fn incomparable_routes(&self, service: &ServiceName, target: &VersionName) -> Vec<RouteName> {
+        let mut old: FastMap<&RouteName, RouteStats> = FastMap::default();
+        for report in self.reports(service, |version| version != target) {
+            for (route, stats) in &report.latest.routes {
+                old.entry(route).or_default().add(stats);
+            }
+        }
+        let requests: u32 = old.values().map(RouteStats::requests).sum();
+        old.retain(|route, stats| {
+            stats.answers >= MIN_FAILURES
+                && total_failure_rate(stats) > MAX_FAILURE_RATE
+                && self.fails_recently(service, target, route)
+        });
+        let incomparable: u32 = old.values().map(RouteStats::requests).sum();
+        if incomparable * 2 > requests {
+            return Vec::new();
+        }
+        old.into_keys().cloned().collect()
+    }
+
+    /// Whether most recent answers of the versions other than the target on a route are failures, or there are none.
+    fn fails_recently(
         &self,
         service: &ServiceName,
         target: &VersionName,
         route: &RouteName,
     ) -> bool {
-        let reports = self.reports(service, |version| version != target);
-        let counts = reports.filter_map(|report| report.latest.route_stats(route));
-        let old: RouteStats = sum_all(counts);
-        old.answers >= MIN_FAILURES && total_failure_rate(&old) > MAX_FAILURE_RATE
+        let recent = self.recent(service, route, |version| version != target);
+        let recent: RecentAnswers = sum_all(recent.iter());
+        recent.answers() < 1.0 || recent.failure_rate() > MAX_FAILURE_RATE
     }
 
     /// Returns the reports of the instances of `service` whose version satisfies `keep`.
--- a/crates/mesh/src/tests/canary.rs
+++ b/crates/mesh/src/tests/canary.rs
@@ -274,3 +274,21 @@
     check(3, 100, Verdict::InsufficientData);
     check(1, 3000, Verdict::InsufficientData);
 }
+
+/// Guards against a route that is left out for good because the others failed there at first.
+#[test]
+fn a_route_on_which_the_others_have_recovered_is_judged() {
+    let start = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let mut judge = |at_s: u64, old: (u32, u32), new: (u32, u32)| {
+        let now = start + Duration::from_secs(at_s);
+        let old = evidence("v1", &[("browse", old.0, old.1, 90), ("hold", 900, 0, 90)]);
+        let new = evidence("v2", &[("browse", new.0, new.1, 90), ("hold", 40, 0, 90)]);
+        canary.merge(&"a".into(), 1, old, now);
+        canary.merge(&"b".into(), 1, new, now);
+        canary.verdict(&"catalogue".into(), &"v2".into(), 1, now)
+    };
+    assert_eq!(judge(0, (10, 10), (2, 2)), Verdict::Good);
+    assert_eq!(judge(1, (500, 490), (10, 10)), Verdict::Good);
+    assert_eq!(judge(40, (640, 491), (24, 24)), Verdict::Bad);
+}
--- a/crates/mesh/src/tests/move_proof.rs
+++ b/crates/mesh/src/tests/move_proof.rs
@@ -1,6 +1,7 @@
 //! Moves of simulated services: whether a bad version is ever completed, and whether a good one is
 //! in time.
 
+mod degraded;
 mod many_routes;
 
 use std::ops::Range;
