Failures of a trouble that has ended do not count against a version

What callers saw, in drawn moves: after a trouble of the services that a service calls, a good version was rolled back.

Cause: an inconclusive verdict discards the counts up to then, but it left the recent answers of the target. They fade with time, and more slowly in effect where the target gets few requests, so they showed a failing version while those of the others already showed a healthy service.

Change: the recent answers of the target are discarded with the counts. Those of the others stay, since they tell when the service has recovered.

The test failures_of_a_trouble_of_the_service_do_not_count_once_it_has_ended failed before, with a bad verdict for 4 s after the trouble.

--- a/crates/mesh/examples/move_trials/play.rs
+++ b/crates/mesh/examples/move_trials/play.rs
@@ -373,7 +373,7 @@
             .decider
             .decide(&self.record, &mut self.canary, instances, at, now);
         if decision.verdict == Verdict::Inconclusive {
-            self.canary.reset_counts(&SERVICE.into());
+            self.canary.reset_counts(&SERVICE.into(), &TARGET.into());
         }
         let is_store_away = self.trial.beside == Beside::StoreAway && self.trial.is_troubled(at);
         if is_store_away && decision.record.stage != Stage::RolledBack {
--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -355,10 +355,15 @@
         counts.values().flatten().map(|count| count.answers).sum()
     }
 
-    /// Discards the counts of a service up to now, as after an inconclusive verdict.
-    pub fn reset_counts(&mut self, service: &ServiceName) {
+    /// Discards the counts of a service up to now, as after an inconclusive verdict. The recent answers of the versions
+    /// other than the target stay, since they tell when the service has recovered.
+    pub fn reset_counts(&mut self, service: &ServiceName, target: &VersionName) {
         let reports = self.instances.iter_mut();
-        for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
+        let reports = reports.filter(|((key_service, ..), _)| key_service == service);
+        for ((_, version, ..), report) in reports {
+            if version == target {
+                report.recent.clear();
+            }
             report.baseline = Some(report.latest.clone());
             report.stage_baseline = report.latest.clone();
             report.raised_baseline = report.latest.clone();
--- a/crates/mesh/src/tests/canary.rs
+++ b/crates/mesh/src/tests/canary.rs
@@ -207,10 +207,10 @@
     assert_eq!(good, Verdict::Good);
     let inconclusive = report_and_judge(&mut canary, 11_500, (11_950, 322), (318, 37));
     assert_eq!(inconclusive, Verdict::Inconclusive);
-    canary.reset_counts(&service);
+    canary.reset_counts(&service, &"v2".into());
     let inconclusive = report_and_judge(&mut canary, 11_600, (12_124, 524), (322, 40));
     assert_eq!(inconclusive, Verdict::Inconclusive);
-    canary.reset_counts(&service);
+    canary.reset_counts(&service, &"v2".into());
     // After the recovery only the counts since the reset matter.
     let good = report_and_judge(&mut canary, 20_000, (15_000, 530), (362, 41));
     assert_eq!(good, Verdict::Good);
@@ -292,3 +292,30 @@
     assert_eq!(judge(1, (500, 490), (10, 10)), Verdict::Good);
     assert_eq!(judge(40, (640, 491), (24, 24)), Verdict::Bad);
 }
+
+/// Guards against a good version that is bad by the failures of a trouble of the whole service that has ended.
+#[test]
+fn failures_of_a_trouble_of_the_service_do_not_count_once_it_has_ended() {
+    let start = Instant::now();
+    let mut canary = CanaryAnalysis::default();
+    let (service, target) = ("catalogue".into(), "v2".into());
+    let (mut old, mut new) = ((0, 0), (0, 0));
+    let mut verdicts = Vec::new();
+    for second in 0..40 {
+        let now = start + Duration::from_secs(second);
+        let failed = if (5..15).contains(&second) { 3 } else { 0 };
+        old = (old.0 + 100, old.1 + failed * 20);
+        new = (new.0 + 20, new.1 + failed * 4);
+        let browse = |count: (u32, u32)| [("browse", count.0, count.1, 90)];
+        canary.merge(&"a".into(), 1, evidence("v1", &browse(old)), now);
+        canary.merge(&"b".into(), 1, evidence("v2", &browse(new)), now);
+        let verdict = canary.verdict(&service, &target, 1, now);
+        if verdict == Verdict::Inconclusive {
+            canary.reset_counts(&service, &target);
+        }
+        verdicts.push(verdict);
+    }
+    assert!(verdicts.contains(&Verdict::Inconclusive), "{verdicts:?}");
+    assert!(!verdicts.contains(&Verdict::Bad), "{verdicts:?}");
+    assert_eq!(verdicts.last(), Some(&Verdict::Good));
+}
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -232,7 +232,9 @@
             });
         }
         if verdict == Verdict::Inconclusive {
-            self.canary.borrow_mut().reset_counts(&order.service);
+            self.canary
+                .borrow_mut()
+                .reset_counts(&order.service, &order.target);
         }
         decision.record
     }
