Soak: a lower limit is not held against requests under the one before

Cause: soak told that an instance with a limit of 0.3 a second got 26 and 27 requests in 4 s, 6.8 allowed. By the log of its daemon the instance had stated 25 a second for 4 s, within which these requests came, and 0.3 just then. The check counted the time for a limit to settle, and the requests, from the first limit on, whatever it was.

Change: the check follows each limit by itself. A changed one has the settle time of a first one, machines must have passed on an answer with it, and only requests since then count. What is allowed of a limit, and the times, are as they were.

Measured: the test each_limit_that_an_instance_states_is_held passes; with limits taken for the same it fails at 25 and then 1 a second. It also shows that too many requests are still told, under a first limit and under a lower one.

--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -288,8 +288,7 @@
     /// States a limit, in requests a second, for this time.
     pub async fn limit_requests(self: Rc<Self>, per_sec: f64, time: Duration) {
         let before = self.statement.get();
-        let since = before.limit.map_or_else(Instant::now, |(_, since)| since);
-        let limit = Some((per_sec, since));
+        let limit = Some((per_sec, Instant::now()));
         self.statement.set(Statement { limit, ..before });
         monoio::time::sleep(time).await;
         // Another limit or instance may have taken its place.
--- a/xtask/src/soak/notices.rs
+++ b/xtask/src/soak/notices.rs
@@ -13,7 +13,7 @@
 use crate::soak::checker::DRAIN_TIME;
 use crate::soak::plan::MachineId;
 
-/// Time after the first statement of a limit from which it must be held.
+/// Time after the first statement of a limit, or of another one, from which it must be held.
 const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time after a machine passed the statement on from which its requests count.
@@ -29,7 +29,7 @@
 /// What an instance states in its answers at present.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Statement {
-    /// Requests a second, and when the instance first stated a limit.
+    /// Requests a second, and since when the instance has stated this limit.
     pub limit: Option<(f64, Instant)>,
     /// Whether it states that it is leaving.
     pub is_leaving: bool,
@@ -38,10 +38,19 @@
 /// When a machine first passed on an answer of an instance with each statement.
 #[derive(Debug, Clone, Copy, Default)]
 struct Told {
-    limit: Option<Instant>,
+    /// The limit that it was last told, and since when.
+    limit: Option<(f64, Instant)>,
     leaving: Option<Instant>,
 }
 
+/// A request that reached an instance, from a machine that was told of the limit at that time.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Instant,
+    machine: MachineId,
+    limit: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Origin {
     machine: MachineId,
@@ -53,8 +62,8 @@
 pub struct NoticeChecker {
     origins: FastMap<SmolStr, Origin>,
     told: FastMap<(MachineId, SmolStr), Told>,
-    /// Arrivals at each instance within [`LIMIT_SPAN`] from machines that were told of a limit.
-    arrivals: FastMap<SmolStr, Vec<(Instant, MachineId)>>,
+    /// Arrivals at each instance within [`LIMIT_SPAN`] from machines that were told of its limit.
+    arrivals: FastMap<SmolStr, Vec<Arrival>>,
 }
 
 impl NoticeChecker {
@@ -70,11 +79,10 @@
         };
         let told = self.told.entry((origin.machine, instance.into()));
         let told = told.or_default();
-        if stated.limit {
-            told.limit.get_or_insert(now);
-        } else {
-            told.limit = None;
-        }
+        told.limit = stated.limit.map(|limit| match told.limit {
+            Some((known, since)) if is_same(known, limit) => (known, since),
+            _ => (limit, now),
+        });
         if stated.leaving {
             told.leaving.get_or_insert(now);
         }
@@ -84,7 +92,7 @@
     pub fn machine_disturbed(&mut self, machine: MachineId) {
         self.told.retain(|(told, _), _| *told != machine);
         for arrivals in self.arrivals.values_mut() {
-            arrivals.retain(|(_, origin)| *origin != machine);
+            arrivals.retain(|arrival| arrival.machine != machine);
         }
     }
 
@@ -116,12 +124,18 @@
             ));
         }
         let (limit, since) = statement.limit?;
-        if told.limit.is_none_or(|at| now < at + TOLD_SLACK) {
+        let is_told = |(told, at): (f64, Instant)| is_same(told, limit) && now >= at + TOLD_SLACK;
+        if !told.limit.is_some_and(is_told) {
             return None;
         }
         let arrivals = self.arrivals.entry(instance.into()).or_default();
-        arrivals.retain(|(at, _)| *at + LIMIT_SPAN > now);
-        arrivals.push((now, origin.machine));
+        // What arrived under another limit says nothing of this one.
+        arrivals.retain(|arrival| arrival.at + LIMIT_SPAN > now && is_same(arrival.limit, limit));
+        arrivals.push(Arrival {
+            at: now,
+            machine: origin.machine,
+            limit,
+        });
         let allowed = LIMIT_FACTOR * limit * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK_REQUESTS;
         let count = arrivals.len();
         let is_held = f64::from(u32::try_from(count).unwrap_or(u32::MAX)) <= allowed;
@@ -134,11 +148,15 @@
     }
 }
 
+fn is_same(one: f64, other: f64) -> bool {
+    one.total_cmp(&other).is_eq()
+}
+
 /// What one answer states.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Stated {
-    /// Whether it states a limit.
-    pub limit: bool,
+    /// Limit in requests a second.
+    pub limit: Option<f64>,
     /// Whether it states that the instance is leaving.
     pub leaving: bool,
 }
--- a/xtask/src/soak/wire.rs
+++ b/xtask/src/soak/wire.rs
@@ -219,7 +219,7 @@
 /// Returns the name of the instance that answered, and what it stated.
 pub fn stated(res: &Response) -> Option<(&str, Stated)> {
     let stated = Stated {
-        limit: res.header(LIMIT).is_some(),
+        limit: res.header(LIMIT).and_then(|text| text.parse().ok()),
         leaving: res.header(LEAVING).is_some(),
     };
     Some((res.header(INSTANCE)?, stated))
--- a/xtask/src/tests/soak.rs
+++ b/xtask/src/tests/soak.rs
@@ -9,6 +9,9 @@
 use crate::soak::checker::Exposure;
 use crate::soak::checker::Guarantees;
 use crate::soak::checker::Probe;
+use crate::soak::notices::NoticeChecker;
+use crate::soak::notices::Stated;
+use crate::soak::notices::Statement;
 use crate::soak::plan::PlanKind;
 use crate::soak::plan::draw;
 
@@ -165,3 +168,40 @@
         assert_eq!(is_planned, plan_kind == PlanKind::Planned, "seed {seed}");
     }
 }
+
+/// Returns the number of violations when an instance states the limits one after the other, each for 10 s, and gets so
+/// many requests in each of these seconds.
+fn violations_of_limits(periods: &[(f64, u32)]) -> usize {
+    let mut notices = NoticeChecker::default();
+    let mut now = Instant::now();
+    let mut violations = 0;
+    for (period, (per_sec, arrivals)) in periods.iter().enumerate() {
+        let statement = Statement {
+            limit: Some((*per_sec, now)),
+            is_leaving: false,
+        };
+        for number in 0..10 * arrivals {
+            let id = format!("{period}-{number}");
+            notices.request_sent(&id, 1, now);
+            let violation = notices.arrived(&id, "i", statement, now);
+            violations += usize::from(violation.is_some());
+            let stated = Stated {
+                limit: Some(*per_sec),
+                leaving: false,
+            };
+            notices.answer_passed_on(&id, "i", stated, now);
+            now += Duration::from_secs(1) / *arrivals;
+        }
+    }
+    violations
+}
+
+/// Guards against requests under an earlier limit that count against a lower one.
+#[test]
+fn each_limit_that_an_instance_states_is_held() {
+    assert_eq!(violations_of_limits(&[(10.0, 10)]), 0);
+    assert_eq!(violations_of_limits(&[(25.0, 20), (1.0, 1)]), 0);
+    assert!(violations_of_limits(&[(1.0, 10)]) > 0);
+    assert!(violations_of_limits(&[(25.0, 20), (1.0, 10)]) > 0);
+    assert_eq!(violations_of_limits(&[(1.0, 1), (25.0, 20)]), 0);
+}
