--- a/crates/mesh/examples/move_trials/play.rs
+++ b/crates/mesh/examples/move_trials/play.rs
@@ -22,10 +22,10 @@
 use mesh::moves::Stage;
 use rollout::simulation::SplitMix64;
 
-use crate::trial::Beside;
+use crate::trial::Degradation;
+use crate::trial::Disturbance;
 use crate::trial::SimulatedRoute;
 use crate::trial::Trial;
-use crate::trial::Trouble;
 use crate::trial::WITHIN;
 use crate::trial::index;
 
@@ -82,7 +82,7 @@
     }
 
     /// Whether a bad version got more requests than it may.
-    pub fn is_broken(&self) -> bool {
+    pub fn is_overexposed(&self) -> bool {
         self.excess() > 0.0 || self.late > 0
     }
 }
@@ -162,7 +162,8 @@
     let mut has_changed_leader = false;
     for step in 0..STEPS {
         let at = STEP * step;
-        let changes_leader = trial.beside == Beside::LeaderChanges && trial.is_troubled(at);
+        let changes_leader =
+            trial.disturbance == Disturbance::LeaderChanges && trial.is_disturbed(at);
         if changes_leader && !has_changed_leader {
             has_changed_leader = true;
             simulation.change_leader();
@@ -293,14 +294,14 @@
         at: Duration,
     ) -> Answer {
         let is_bad = version == Version::New && self.trial.is_bad(at, self.share(), route);
-        let (trouble, instances) = match version {
-            Version::Old => (self.trial.old_trouble(at), self.old.len()),
-            Version::New => (self.trial.callee_trouble(at), self.new.len()),
+        let (degradation, instances) = match version {
+            Version::Old => (self.trial.old_degradation(at), self.old.len()),
+            Version::New => (self.trial.callee_degradation(at), self.new.len()),
         };
         let instance = index(&mut self.random, instances);
         let spread = 0.6 + 0.8 * self.random.next_f64();
-        let usual = simulated.time.mul_f64(spread * trouble.slower);
-        let usually_fails = self.fails(&trouble) || self.random.next_bool(USUAL_FAILURES);
+        let usual = simulated.time.mul_f64(spread * degradation.slower);
+        let usually_fails = self.fails(&degradation) || self.random.next_bool(USUAL_FAILURES);
         let (took, fails) = if is_bad {
             let fault = &self.trial.fault;
             (usual.mul_f64(fault.slower), self.fails(fault))
@@ -317,8 +318,8 @@
         }
     }
 
-    fn fails(&mut self, trouble: &Trouble) -> bool {
-        self.random.next_bool(trouble.failing)
+    fn fails(&mut self, degradation: &Degradation) -> bool {
+        self.random.next_bool(degradation.failing)
     }
 
     fn receive_answers(&mut self, at: Duration) {
@@ -341,8 +342,8 @@
 
     fn send_reports(&mut self, at: Duration) {
         let trial = self.trial;
-        let lost = trial.unreliable_reports(Beside::ReportsLost, at);
-        let doubled = trial.unreliable_reports(Beside::ReportsDoubled, at);
+        let lost = trial.unreliable_reports(Disturbance::ReportsLost, at);
+        let doubled = trial.unreliable_reports(Disturbance::ReportsDoubled, at);
         let delay = steps(trial.report_delay(at));
         for instance in self.old.iter_mut().chain(&mut self.new) {
             let report = (instance.daemon.clone(), instance.report());
@@ -375,7 +376,8 @@
         if decision.verdict == Verdict::Inconclusive {
             self.canary.reset_counts(&SERVICE.into(), &TARGET.into());
         }
-        let is_store_away = self.trial.beside == Beside::StoreAway && self.trial.is_troubled(at);
+        let is_store_away =
+            self.trial.disturbance == Disturbance::StoreAway && self.trial.is_disturbed(at);
         if is_store_away && decision.record.stage != Stage::RolledBack {
             return;
         }
--- a/crates/mesh/examples/move_trials/summary.rs
+++ b/crates/mesh/examples/move_trials/summary.rs
@@ -7,7 +7,7 @@
 use crate::Results;
 use crate::play::Ending;
 use crate::play::Outcome;
-use crate::trial::Kind;
+use crate::trial::Behaviour;
 use crate::trial::Trial;
 use crate::trial::WITHIN;
 
@@ -29,7 +29,7 @@
 struct Row {
     moves: u32,
     /// Bad versions with more requests than they may get.
-    broken: u32,
+    overexposed: u32,
     completed: u32,
     rolled_back: u32,
     /// Good versions that are not complete in time, those rolled back apart.
@@ -46,7 +46,7 @@
         match outcome.ending {
             Ending::Completed(at) => {
                 self.completed += 1;
-                self.not_in_time += u32::from(trial.kind == Kind::Good && at > WITHIN);
+                self.not_in_time += u32::from(trial.behaviour == Behaviour::Good && at > WITHIN);
             }
             Ending::RolledBack(at) => {
                 self.rolled_back += 1;
@@ -54,10 +54,10 @@
                 self.verdict_times
                     .extend(since.as_ref().map(Duration::as_secs_f64));
             }
-            Ending::Open => self.not_in_time += u32::from(trial.kind == Kind::Good),
+            Ending::Open => self.not_in_time += u32::from(trial.behaviour == Behaviour::Good),
         }
-        if trial.kind != Kind::Good {
-            self.broken += u32::from(outcome.is_broken());
+        if trial.behaviour != Behaviour::Good {
+            self.overexposed += u32::from(outcome.is_overexposed());
             self.excess.push(outcome.excess());
         }
     }
@@ -105,10 +105,10 @@
         writeln!(f, "\nclearly bad versions, by {name}")?;
         writeln!(
             f,
-            "{:22} {:>6} {:>8} {:>9} {:>11} {:>14} {:>14} {:>16}",
+            "{:22} {:>6} {:>13} {:>10} {:>13} {:>14} {:>13} {:>13}",
             "",
             "moves",
-            "broken %",
+            "overexposed %",
             "complete %",
             "rolled back %",
             "excess p99/max",
@@ -118,10 +118,10 @@
         for (key, row) in self.rows(Trial::is_clearly_bad, key) {
             writeln!(
                 f,
-                "{:22} {:>6} {:>8.2} {:>10.2} {:>13.2} {:>7.0}/{:<6.0} {:>14.1} {:>14.1}",
+                "{:22} {:>6} {:>13.2} {:>10.2} {:>13.2} {:>7.0}/{:<6.0} {:>13.1} {:>13.1}",
                 key.to_string(),
                 row.moves,
-                row.percent(row.broken),
+                row.percent(row.overexposed),
                 row.percent(row.completed),
                 row.percent(row.rolled_back),
                 percentile(&row.excess, 99),
@@ -134,17 +134,20 @@
     }
 
     fn write_good(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "\ngood versions, by what happens beside the move")?;
+        writeln!(f, "\ngood versions, by disturbance")?;
         writeln!(
             f,
             "{:22} {:>6} {:>13} {:>13}",
             "", "moves", "rolled back %", "not in time %"
         )?;
-        for (beside, row) in self.rows(|trial| trial.kind == Kind::Good, |trial| trial.beside) {
+        for (disturbance, row) in self.rows(
+            |trial| trial.behaviour == Behaviour::Good,
+            |trial| trial.disturbance,
+        ) {
             writeln!(
                 f,
                 "{:22} {:>6} {:>13.2} {:>13.2}",
-                beside.to_string(),
+                disturbance.to_string(),
                 row.moves,
                 row.percent(row.rolled_back),
                 row.percent(row.not_in_time),
@@ -155,15 +158,18 @@
 
     fn write_plot(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let bad = self.rows(Trial::is_clearly_bad, band);
-        let can_complete = |trial: &Trial| trial.kind == Kind::Good && trial.beside.leaves_time();
+        let can_complete =
+            |trial: &Trial| trial.behaviour == Behaviour::Good && trial.disturbance.leaves_time();
         let good = self.rows(can_complete, band);
         writeln!(f, "\nboth errors, by requests a second of the service")?;
         for (band, from) in RATE_BANDS.iter().enumerate() {
-            let bad = bad.get(&band).map_or(0.0, |row| row.percent(row.broken));
+            let bad = bad
+                .get(&band)
+                .map_or(0.0, |row| row.percent(row.overexposed));
             let good = good
                 .get(&band)
                 .map_or(0.0, |row| row.percent(row.rolled_back + row.not_in_time));
-            writeln!(f, "from {from:>4}  bad, broken           {}", bar(bad))?;
+            writeln!(f, "from {from:>4}  bad, overexposed           {}", bar(bad))?;
             writeln!(f, "           good, back or late    {}", bar(good))?;
         }
         Ok(())
@@ -192,9 +198,9 @@
 impl fmt::Display for Summary<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} moves", self.results.len())?;
-        self.write_bad(f, "kind", |trial| trial.kind)?;
+        self.write_bad(f, "behaviour", |trial| trial.behaviour)?;
         self.write_bad(f, "strength", Trial::strength)?;
-        self.write_bad(f, "what happens beside the move", |trial| trial.beside)?;
+        self.write_bad(f, "disturbance", |trial| trial.disturbance)?;
         self.write_good(f)?;
         self.write_plot(f)?;
         self.write_seeds(f)
@@ -204,26 +210,26 @@
 impl Trial {
     /// Whether the target is so bad that it must not exceed its share.
     fn is_clearly_bad(&self) -> bool {
-        match self.kind {
-            Kind::Good => false,
-            Kind::Fails(_) => self.fault.failing >= CLEAR_FAILURES,
-            Kind::Slow(_) => self.fault.slower >= CLEAR_SLOWDOWN,
+        match self.behaviour {
+            Behaviour::Good => false,
+            Behaviour::Fails(_) => self.fault.failing >= CLEAR_FAILURES,
+            Behaviour::Slow(_) => self.fault.slower >= CLEAR_SLOWDOWN,
         }
     }
 }
 
 /// Names the error of a decision, if there was one.
 fn error(trial: &Trial, outcome: &Outcome) -> Option<String> {
-    if trial.is_clearly_bad() && outcome.is_broken() {
-        return Some(trial.kind.to_string());
+    if trial.is_clearly_bad() && outcome.is_overexposed() {
+        return Some(trial.behaviour.to_string());
     }
-    if trial.kind != Kind::Good {
+    if trial.behaviour != Behaviour::Good {
         return None;
     }
     match outcome.ending {
         Ending::RolledBack(_) => Some("good, rolled back".to_owned()),
         Ending::Completed(at) if at <= WITHIN => None,
-        _ if !trial.beside.leaves_time() => None,
+        _ if !trial.disturbance.leaves_time() => None,
         _ => Some("good, not in time".to_owned()),
     }
 }
--- a/crates/mesh/examples/move_trials/trial.rs
+++ b/crates/mesh/examples/move_trials/trial.rs
@@ -1,4 +1,4 @@
-//! Moves drawn at random: the service, its target version and what happens beside the move.
+//! Moves drawn at random: the service, its target version and the disturbances meanwhile.
 
 use std::fmt;
 use std::ops::Range;
@@ -31,9 +31,9 @@
 const MAX_ROUTES: usize = 6;
 const MAX_INSTANCES: usize = 4;
 
-/// Trouble of the old version or of the services that it calls, as its failure rate and its slowdown.
-const TROUBLE_FAILURE_RATES: [f64; 3] = [0.2, 0.6, 1.0];
-const TROUBLE_SLOWDOWNS: [f64; 3] = [3.0, 6.0, 12.0];
+/// Degradation of the old version or of the services that it calls, as its failure rate and its slowdown.
+const DEGRADED_FAILURE_RATES: [f64; 3] = [0.2, 0.6, 1.0];
+const DEGRADED_SLOWDOWNS: [f64; 3] = [3.0, 6.0, 12.0];
 
 /// Largest shares of reports that are lost or doubled, and delay of late ones.
 const UNRELIABLE_REPORTS: f64 = 0.3;
@@ -41,7 +41,7 @@
 
 /// Which versions are bad in a trial, for tables.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
+pub enum Behaviour {
     Good,
     Fails(FaultTime),
     Slow(FaultTime),
@@ -56,7 +56,7 @@
     UnderLoad,
 }
 
-impl fmt::Display for Kind {
+impl fmt::Display for Behaviour {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (what, when) = match self {
             Self::Good => return f.write_str("good"),
@@ -73,9 +73,9 @@
     }
 }
 
-/// What happens beside a move.
+/// What disturbs a service or the decisions on its move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Beside {
+pub enum Disturbance {
     Nothing,
     OldFails,
     OldSlow,
@@ -90,7 +90,7 @@
     RouteAlwaysFails,
 }
 
-impl Beside {
+impl Disturbance {
     const ALL: [Self; 11] = [
         Self::Nothing,
         Self::OldFails,
@@ -119,7 +119,7 @@
     }
 }
 
-impl fmt::Display for Beside {
+impl fmt::Display for Disturbance {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Nothing => "nothing",
@@ -139,14 +139,14 @@
 
 /// Failure rate and slowdown that are added to the usual ones.
 #[derive(Debug, Clone, Copy)]
-pub struct Trouble {
+pub struct Degradation {
     /// Share of the answers that fail.
     pub failing: f64,
     /// Factor of the service time.
     pub slower: f64,
 }
 
-const NO_TROUBLE: Trouble = Trouble {
+const HEALTHY: Degradation = Degradation {
     failing: 0.0,
     slower: 1.0,
 };
@@ -168,17 +168,17 @@
     pub routes: Vec<SimulatedRoute>,
     pub old_instances: usize,
     pub new_instances: usize,
-    pub kind: Kind,
+    pub behaviour: Behaviour,
     /// What is wrong with the target while it is bad.
-    pub fault: Trouble,
+    pub fault: Degradation,
     /// Share of the requests from which on a target is bad that is so under load.
     pub loaded_share: f64,
     /// Time at which a target becomes bad that is so late.
     pub late_at: Duration,
-    pub beside: Beside,
-    /// What is wrong beside the target while something is.
-    pub trouble: Trouble,
-    /// When something happens beside the move.
+    pub disturbance: Disturbance,
+    /// What a disturbance of the service does to its answers.
+    pub degradation: Degradation,
+    /// Time of the disturbance.
     pub span: Range<Duration>,
 }
 
@@ -187,34 +187,34 @@
     pub fn draw(seed: u64) -> Self {
         let mut random = SplitMix64::new(seed);
         let mut routes = draw_routes(&mut random);
-        let kind = draw_kind(&mut random);
-        let beside = pick(&mut random, &Beside::ALL);
-        if beside == Beside::RouteAlwaysFails {
+        let behaviour = draw_behaviour(&mut random);
+        let disturbance = pick(&mut random, &Disturbance::ALL);
+        if disturbance == Disturbance::RouteAlwaysFails {
             routes[0].timeout = routes[0].time / 2;
         }
-        // A third of the troubles are there when the order comes.
+        // A third of the disturbances are there when the order comes.
         let start = WITHIN.mul_f64((random.next_f64() * 1.35 - 0.45).max(0.0));
         Self {
             routes,
             old_instances: 1 + index(&mut random, MAX_INSTANCES),
             new_instances: 1 + index(&mut random, MAX_INSTANCES),
-            kind,
-            fault: match kind {
-                Kind::Good => NO_TROUBLE,
-                Kind::Fails(_) => failing(pick(&mut random, &FAILURE_RATES)),
-                Kind::Slow(_) => slower(pick(&mut random, &SLOWDOWNS)),
+            behaviour,
+            fault: match behaviour {
+                Behaviour::Good => HEALTHY,
+                Behaviour::Fails(_) => failing(pick(&mut random, &FAILURE_RATES)),
+                Behaviour::Slow(_) => slower(pick(&mut random, &SLOWDOWNS)),
             },
             loaded_share: pick(&mut random, &LOADED_SHARES),
             late_at: WITHIN.mul_f64(random.next_f64() * LATEST_FAULT),
-            beside,
-            trouble: match beside {
-                Beside::OldFails | Beside::CalleesFail => {
-                    failing(pick(&mut random, &TROUBLE_FAILURE_RATES))
+            disturbance,
+            degradation: match disturbance {
+                Disturbance::OldFails | Disturbance::CalleesFail => {
+                    failing(pick(&mut random, &DEGRADED_FAILURE_RATES))
                 }
-                Beside::OldSlow | Beside::CalleesSlow => {
-                    slower(pick(&mut random, &TROUBLE_SLOWDOWNS))
+                Disturbance::OldSlow | Disturbance::CalleesSlow => {
+                    slower(pick(&mut random, &DEGRADED_SLOWDOWNS))
                 }
-                _ => NO_TROUBLE,
+                _ => HEALTHY,
             },
             span: start..start + WITHIN.mul_f64(0.1 + 0.5 * random.next_f64()),
         }
@@ -222,10 +222,10 @@
 
     /// Names what is wrong with the target, for tables.
     pub fn strength(&self) -> String {
-        match self.kind {
-            Kind::Good => "good".to_owned(),
-            Kind::Fails(_) => format!("fails {:>3.0} %", self.fault.failing * 100.0),
-            Kind::Slow(_) => format!("slower x {:>2.0}", self.fault.slower),
+        match self.behaviour {
+            Behaviour::Good => "good".to_owned(),
+            Behaviour::Fails(_) => format!("fails {:>3.0} %", self.fault.failing * 100.0),
+            Behaviour::Slow(_) => format!("slower x {:>2.0}", self.fault.slower),
         }
     }
 
@@ -234,30 +234,34 @@
         self.routes.iter().map(|route| route.per_sec).sum()
     }
 
-    /// Whether something happens beside the move at a time after the order.
-    pub fn is_troubled(&self, at: Duration) -> bool {
-        self.beside != Beside::Nothing && self.span.contains(&at)
+    /// Whether the disturbance lasts at a time after the order.
+    pub fn is_disturbed(&self, at: Duration) -> bool {
+        self.disturbance != Disturbance::Nothing && self.span.contains(&at)
     }
 
     /// Returns what is wrong with the old version.
-    pub fn old_trouble(&self, at: Duration) -> Trouble {
-        match self.beside {
-            Beside::OldFails | Beside::OldSlow if self.is_troubled(at) => self.trouble,
-            _ => self.callee_trouble(at),
+    pub fn old_degradation(&self, at: Duration) -> Degradation {
+        match self.disturbance {
+            Disturbance::OldFails | Disturbance::OldSlow if self.is_disturbed(at) => {
+                self.degradation
+            }
+            _ => self.callee_degradation(at),
         }
     }
 
     /// Returns what is wrong with the services that both versions call.
-    pub fn callee_trouble(&self, at: Duration) -> Trouble {
-        match self.beside {
-            Beside::CalleesFail | Beside::CalleesSlow if self.is_troubled(at) => self.trouble,
-            _ => NO_TROUBLE,
+    pub fn callee_degradation(&self, at: Duration) -> Degradation {
+        match self.disturbance {
+            Disturbance::CalleesFail | Disturbance::CalleesSlow if self.is_disturbed(at) => {
+                self.degradation
+            }
+            _ => HEALTHY,
         }
     }
 
     /// Whether the target is bad at this time and share of the requests, on the route with this number.
     pub fn is_bad(&self, at: Duration, share: f64, route: usize) -> bool {
-        let (Kind::Fails(when) | Kind::Slow(when)) = self.kind else {
+        let (Behaviour::Fails(when) | Behaviour::Slow(when)) = self.behaviour else {
             return false;
         };
         match when {
@@ -270,7 +274,7 @@
 
     /// Returns how long reports take beyond their usual time.
     pub fn report_delay(&self, at: Duration) -> Duration {
-        if self.beside == Beside::ReportsLate && self.is_troubled(at) {
+        if self.disturbance == Disturbance::ReportsLate && self.is_disturbed(at) {
             LATE_REPORTS
         } else {
             Duration::ZERO
@@ -278,8 +282,8 @@
     }
 
     /// Returns the share of reports to which something happens.
-    pub fn unreliable_reports(&self, beside: Beside, at: Duration) -> f64 {
-        if self.beside == beside && self.is_troubled(at) {
+    pub fn unreliable_reports(&self, disturbance: Disturbance, at: Duration) -> f64 {
+        if self.disturbance == disturbance && self.is_disturbed(at) {
             UNRELIABLE_REPORTS
         } else {
             0.0
@@ -287,18 +291,12 @@
     }
 }
 
-fn failing(failing: f64) -> Trouble {
-    Trouble {
-        failing,
-        ..NO_TROUBLE
-    }
+fn failing(failing: f64) -> Degradation {
+    Degradation { failing, ..HEALTHY }
 }
 
-fn slower(slower: f64) -> Trouble {
-    Trouble {
-        slower,
-        ..NO_TROUBLE
-    }
+fn slower(slower: f64) -> Degradation {
+    Degradation { slower, ..HEALTHY }
 }
 
 /// Returns a number from 0 up to but not including `end`.
@@ -337,7 +335,7 @@
 }
 
 /// Draws what is wrong with the target; a third of them are good.
-fn draw_kind(random: &mut SplitMix64) -> Kind {
+fn draw_behaviour(random: &mut SplitMix64) -> Behaviour {
     let when = pick(
         random,
         &[
@@ -347,5 +345,12 @@
             FaultTime::UnderLoad,
         ],
     );
-    pick(random, &[Kind::Good, Kind::Fails(when), Kind::Slow(when)])
+    pick(
+        random,
+        &[
+            Behaviour::Good,
+            Behaviour::Fails(when),
+            Behaviour::Slow(when),
+        ],
+    )
 }
