--- a/crates/mesh/examples/move_trials/play.rs
+++ b/crates/mesh/examples/move_trials/play.rs
@@ -374,7 +374,7 @@
             .decider
             .decide(&self.record, &mut self.canary, instances, at, now);
         if decision.verdict == Verdict::Inconclusive {
-            self.canary.reset_counts(&SERVICE.into(), &TARGET.into());
+            self.canary.reset_counts(&SERVICE.into());
         }
         let is_store_away =
             self.trial.disturbance == Disturbance::StoreAway && self.trial.is_disturbed(at);
--- a/crates/mesh/src/canary.rs
+++ b/crates/mesh/src/canary.rs
@@ -28,7 +28,6 @@
 pub use crate::canary::report::ProofSpan;
 use crate::canary::samples::RecentAnswers;
 use crate::canary::samples::RecentPair;
-use crate::canary::samples::Sample;
 use crate::canary::samples::sum_all;
 use crate::canary::samples::sum_better_half;
 use crate::canary::samples::sum_but_worst_quarter;
@@ -169,12 +168,9 @@
         let new = self.counts_by_instance(service, target, ProofSpan::Move);
         let at_stage = self.counts_by_instance(service, target, ProofSpan::Stage);
         let old = self.counts(service, |version| version != target);
-        let incomparable = self.incomparable_routes(service, target);
-        let comparable = || {
-            new.iter()
-                .filter(|(route, _)| !incomparable.contains(*route))
-        };
-        let verdicts: Vec<Verdict> = comparable()
+        let verdicts: Vec<Verdict> = new
+            .iter()
+            .filter(|(route, _)| !self.has_always_failed(service, target, route))
             .map(|(route, counts)| {
                 let recent = RecentPair {
                     new: sum_better_half(self.recent(service, route, |v| v == target)),
@@ -195,8 +191,7 @@
                 return verdict;
             }
         }
-        let counts = comparable().flat_map(|(_, counts)| counts);
-        let answers: u32 = counts.map(|count| count.answers).sum();
+        let answers: u32 = new.values().flatten().map(|count| count.answers).sum();
         if answers < MIN_ANSWERS || self.reporting(service, target, now) * 2 < instances {
             return Verdict::InsufficientData;
         }
@@ -219,7 +214,6 @@
         let old = self.counts(service, |version| version != target);
         let all = self.counts(service, |_| true);
         let service_requests = all.values().map(RouteStats::requests).sum();
-        let incomparable = self.incomparable_routes(service, target);
         let mut unproven: Vec<UnprovenRoute> = all
             .into_keys()
             .map(|route| {
@@ -228,7 +222,6 @@
                     new: &sum_but_worst_quarter(counts),
                     old: old.get(&route),
                     compares_latency: true,
-                    is_comparable: !incomparable.contains(&route),
                     service_requests,
                 };
                 UnprovenRoute {
@@ -265,7 +258,6 @@
             new: &new,
             old: Some(&sum_all(old.values())),
             compares_latency: false,
-            is_comparable: true,
             service_requests: new.requests(),
         };
         sample.proof(bad, bad) == RouteProof::Proven
@@ -355,54 +347,29 @@
         counts.values().flatten().map(|count| count.answers).sum()
     }
 
-    /// Discards the counts of a service up to now, as after an inconclusive verdict. The recent answers of the versions
-    /// other than the target stay, since they tell when the service has recovered.
-    pub fn reset_counts(&mut self, service: &ServiceName, target: &VersionName) {
+    /// Discards the counts of a service up to now, as after an inconclusive verdict.
+    pub fn reset_counts(&mut self, service: &ServiceName) {
         let reports = self.instances.iter_mut();
-        let reports = reports.filter(|((key_service, ..), _)| key_service == service);
-        for ((_, version, ..), report) in reports {
-            if version == target {
-                report.recent.clear();
-            }
+        for (_, report) in reports.filter(|((key_service, ..), _)| key_service == service) {
             report.baseline = Some(report.latest.clone());
             report.stage_baseline = report.latest.clone();
             report.raised_baseline = report.latest.clone();
         }
     }
 
-    /// Returns the routes that tell nothing of the target: most answers of the other versions there have been failures
-    /// since the start of their instances and still are, as with a timeout below the service time. Empty if most
-    /// requests are on such routes, since then the service is degraded and the others say too little.
-    fn incomparable_routes(&self, service: &ServiceName, target: &VersionName) -> Vec<RouteName> {
-        let mut old: FastMap<&RouteName, RouteStats> = FastMap::default();
-        for report in self.reports(service, |version| version != target) {
-            for (route, stats) in &report.latest.routes {
-                old.entry(route).or_default().add(stats);
-            }
-        }
-        let requests: u32 = old.values().map(RouteStats::requests).sum();
-        old.retain(|route, stats| {
-            stats.answers >= MIN_FAILURES
-                && total_failure_rate(stats) > MAX_FAILURE_RATE
-                && self.fails_recently(service, target, route)
-        });
-        let incomparable: u32 = old.values().map(RouteStats::requests).sum();
-        if incomparable * 2 > requests {
-            return Vec::new();
-        }
-        old.into_keys().cloned().collect()
-    }
-
-    /// Whether most recent answers of the versions other than the target on a route are failures, or there are none.
-    fn fails_recently(
+    /// Whether most answers of the versions other than the target on a route have been failures since the
+    /// start of their instances, as with a timeout below the service time. Such a route tells nothing of
+    /// the target, nor that the service is degraded.
+    fn has_always_failed(
         &self,
         service: &ServiceName,
         target: &VersionName,
         route: &RouteName,
     ) -> bool {
-        let recent = self.recent(service, route, |version| version != target);
-        let recent: RecentAnswers = sum_all(recent.iter());
-        recent.answers() < 1.0 || recent.failure_rate() > MAX_FAILURE_RATE
+        let reports = self.reports(service, |version| version != target);
+        let counts = reports.filter_map(|report| report.latest.route_stats(route));
+        let old: RouteStats = sum_all(counts);
+        old.answers >= MIN_FAILURES && total_failure_rate(&old) > MAX_FAILURE_RATE
     }
 
     /// Returns the reports of the instances of `service` whose version satisfies `keep`.
--- a/crates/mesh/src/route_proof.rs
+++ b/crates/mesh/src/route_proof.rs
@@ -28,7 +28,8 @@
 /// Faulty answers from which on a rare route needs a proof too: a single one says little.
 const MIN_FAULTY: u32 = 2;
 
-/// Rate of faulty answers of the other versions above which the answers on a route do not prove anything.
+/// Rate of faulty answers of the other versions above which a route says nothing of the target: most of
+/// its requests fail whatever the version, as with a timeout below the service time.
 const MAX_OLD_FAULTY_RATE: f64 = 0.5;
 
 /// Rate of faulty answers that a proof rules out.
@@ -60,8 +61,6 @@
     pub old: Option<&'a RouteStats>,
     /// Whether slow answers are faulty; on a sum over routes the latency depends on their mix.
     pub compares_latency: bool,
-    /// Whether the other versions tell what to expect of the target.
-    pub is_comparable: bool,
     /// Requests of the service on all routes.
     pub service_requests: u32,
 }
@@ -71,12 +70,9 @@
     /// route with many of the service's requests, `quiet` on another.
     #[must_use]
     pub fn proof(&self, busy: BadRate, quiet: BadRate) -> RouteProof {
-        if !self.is_comparable {
-            return RouteProof::Proven;
-        }
         let old_rate = self.old.map_or(0.0, |old| self.faulty_rate(old));
         if old_rate > MAX_OLD_FAULTY_RATE {
-            return self.without_proof();
+            return RouteProof::Proven;
         }
         let expected = old_rate.max(EXPECTED_FAULTY_RATE);
         let bad = if self.is_quiet() { quiet } else { busy };
@@ -93,11 +89,6 @@
         if faulty >= MIN_FAULTY && batch.is_proof_of_bad() {
             return RouteProof::Suspicious;
         }
-        self.without_proof()
-    }
-
-    /// Returns what a route shows whose answers prove nothing: rare ones are not waited for.
-    fn without_proof(&self) -> RouteProof {
         if self.has_share_of(RARE_ROUTE_DIVISOR) {
             RouteProof::Open
         } else {
--- a/crates/mesh/src/tests/canary.rs
+++ b/crates/mesh/src/tests/canary.rs
@@ -207,10 +207,10 @@
     assert_eq!(good, Verdict::Good);
     let inconclusive = report_and_judge(&mut canary, 11_500, (11_950, 322), (318, 37));
     assert_eq!(inconclusive, Verdict::Inconclusive);
-    canary.reset_counts(&service, &"v2".into());
+    canary.reset_counts(&service);
     let inconclusive = report_and_judge(&mut canary, 11_600, (12_124, 524), (322, 40));
     assert_eq!(inconclusive, Verdict::Inconclusive);
-    canary.reset_counts(&service, &"v2".into());
+    canary.reset_counts(&service);
     // After the recovery only the counts since the reset matter.
     let good = report_and_judge(&mut canary, 20_000, (15_000, 530), (362, 41));
     assert_eq!(good, Verdict::Good);
@@ -311,7 +311,7 @@
         canary.merge(&"b".into(), 1, evidence("v2", &browse(new)), now);
         let verdict = canary.verdict(&service, &target, 1, now);
         if verdict == Verdict::Inconclusive {
-            canary.reset_counts(&service, &target);
+            canary.reset_counts(&service);
         }
         verdicts.push(verdict);
     }
--- a/crates/sidecar/src/move_controller.rs
+++ b/crates/sidecar/src/move_controller.rs
@@ -232,9 +232,7 @@
             });
         }
         if verdict == Verdict::Inconclusive {
-            self.canary
-                .borrow_mut()
-                .reset_counts(&order.service, &order.target);
+            self.canary.borrow_mut().reset_counts(&order.service);
         }
         decision.record
     }
